--- a/codec/src/main/java/org/dogwoodwood/codec/configuration/ConfigurationJsonCodec.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/configuration/ConfigurationJsonCodec.java
@@ -17,6 +17,7 @@
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.configuration.DataCentreDefinition;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
+import org.dogwoodwood.core.configuration.RouteDefinition;
 import org.dogwoodwood.core.configuration.ServiceDefinition;
 
 /**
@@ -98,18 +99,20 @@
             Map<String, ServiceDefinition> services,
             Map<String, DataCentreDefinition> dataCentres,
             Map<String, CallClassDefinition> classes,
-            Map<String, PolicyDefinition> policies) {
+            Map<String, PolicyDefinition> policies,
+            Map<String, RouteDefinition> routes) {
 
         static Document of(Configuration configuration) {
             return new Document(
                     configuration.services(),
                     configuration.dataCentres(),
                     configuration.callClasses(),
-                    configuration.policies());
+                    configuration.policies(),
+                    configuration.routes());
         }
 
         Configuration toConfiguration(long version) {
-            return new Configuration(version, services, dataCentres, classes, policies);
+            return new Configuration(version, services, dataCentres, classes, policies, routes);
         }
     }
 }
--- a/codec/src/main/java/org/dogwoodwood/codec/configuration/DraftBuilder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/configuration/DraftBuilder.java
@@ -5,16 +5,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.configuration.ConfigurationDraft;
 import org.dogwoodwood.core.configuration.ConfigurationKey;
 import org.dogwoodwood.core.configuration.ConfigurationProblem;
 import org.dogwoodwood.core.configuration.DataCentreDefinition;
 import org.dogwoodwood.core.configuration.DraftObject;
+import org.dogwoodwood.core.configuration.Execution;
 import org.dogwoodwood.core.configuration.NameSuggestions;
 import org.dogwoodwood.core.configuration.ObjectKind;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
+import org.dogwoodwood.core.configuration.ProblemLocation;
+import org.dogwoodwood.core.configuration.RouteDefinition;
 import org.dogwoodwood.core.configuration.ServiceDefinition;
+import org.dogwoodwood.core.configuration.ServiceShare;
 import org.dogwoodwood.core.configuration.SourceLocation;
 
 /** Collects the objects and problems of several files. */
@@ -26,6 +31,7 @@
     private final List<DraftObject<DataCentreDefinition>> dataCentres = new ArrayList<>();
     private final List<DraftObject<CallClassDefinition>> callClasses = new ArrayList<>();
     private final List<DraftObject<PolicyDefinition>> policies = new ArrayList<>();
+    private final List<DraftObject<RouteDefinition>> routes = new ArrayList<>();
 
     DraftBuilder(NameSuggestions suggestions) {
         this.suggestions = suggestions;
@@ -55,6 +61,7 @@
                                             reader.number(ConfigurationKey.CALL_CLASS_MAX_SHARE)),
                                     location));
             case POLICY -> policies.add(new DraftObject<>(policy(name, reader), location));
+            case ROUTE -> routes.add(new DraftObject<>(route(name, reader, location), location));
             default -> throw new IllegalArgumentException("Add objects of kind " + kind + ".");
         }
     }
@@ -77,7 +84,7 @@
     }
 
     ConfigurationDraft draft() {
-        return new ConfigurationDraft(services, dataCentres, callClasses, policies);
+        return new ConfigurationDraft(services, dataCentres, callClasses, policies, routes);
     }
 
     private static ServiceDefinition service(String name, Values values) {
@@ -91,7 +98,8 @@
                 new HashSet<>(values.texts(ConfigurationKey.SERVICE_IDEMPOTENT_METHODS)),
                 values.whole(ConfigurationKey.SERVICE_KEY_WINDOW_SECONDS),
                 values.whole(ConfigurationKey.SERVICE_MAX_REQUEST_BYTES),
-                values.whole(ConfigurationKey.SERVICE_MAX_ANSWER_BYTES));
+                values.whole(ConfigurationKey.SERVICE_MAX_ANSWER_BYTES),
+                values.text(ConfigurationKey.SERVICE_HEALTH_PATH));
     }
 
     private static PolicyDefinition policy(String name, Values values) {
@@ -103,7 +111,67 @@
                 values.whole(ConfigurationKey.POLICY_COLD_SLOTS),
                 values.number(ConfigurationKey.POLICY_EJECTION_SHARE),
                 values.whole(ConfigurationKey.POLICY_CRASH_LIMIT),
-                values.whole(ConfigurationKey.POLICY_CRASH_HOLD_SECONDS));
+                values.whole(ConfigurationKey.POLICY_CRASH_HOLD_SECONDS),
+                values.number(ConfigurationKey.POLICY_COLD_CALLS_PER_SECOND),
+                values.whole(ConfigurationKey.POLICY_COLD_START_MILLIS));
+    }
+
+    private RouteDefinition route(String name, Values values, SourceLocation location) {
+        List<ServiceShare> shares = new ArrayList<>();
+        for (String text : values.texts(ConfigurationKey.ROUTE_SHARES)) {
+            Optional<ServiceShare> share = ServiceShare.parse(text);
+            if (share.isEmpty()) {
+                reportRoute(name, ConfigurationKey.ROUTE_SHARES, text, "outings=90.", location);
+            }
+            share.ifPresent(shares::add);
+        }
+        String label = values.text(ConfigurationKey.ROUTE_EXECUTION);
+        Optional<Execution> execution = Execution.fromLabel(label);
+        if (execution.isEmpty() && !label.isEmpty()) {
+            String remedy = "idempotent or at-most-once.";
+            reportRoute(name, ConfigurationKey.ROUTE_EXECUTION, label, remedy, location);
+        }
+        if (label.isEmpty()) {
+            report(
+                    new ConfigurationProblem(
+                            ErrorCode.MISSING_KEY,
+                            routeLocation(name, ConfigurationKey.ROUTE_EXECUTION, location),
+                            "execution is missing or empty.",
+                            "Add execution: idempotent or at-most-once."));
+        }
+        return new RouteDefinition(
+                name,
+                values.text(ConfigurationKey.ROUTE_HOST),
+                values.text(ConfigurationKey.ROUTE_PATH_PREFIX),
+                shares,
+                execution.orElse(Execution.AT_MOST_ONCE),
+                values.whole(ConfigurationKey.ROUTE_TIMEOUT_MILLIS),
+                values.whole(ConfigurationKey.ROUTE_TARGET_LATENCY_MILLIS),
+                values.text(ConfigurationKey.ROUTE_CALL_CLASS),
+                values.whole(ConfigurationKey.ROUTE_MAX_ATTEMPTS));
+    }
+
+    private void reportRoute(
+            String name,
+            ConfigurationKey key,
+            String value,
+            String remedy,
+            SourceLocation location) {
+        report(
+                new ConfigurationProblem(
+                        ErrorCode.VALUE_OUT_OF_RANGE,
+                        routeLocation(name, key, location),
+                        "'" + value + "' is not allowed in " + key.label() + ".",
+                        "Use values such as " + remedy));
+    }
+
+    private static ProblemLocation routeLocation(
+            String name, ConfigurationKey key, SourceLocation location) {
+        return new ProblemLocation(
+                location.file(),
+                location.lineOf(key.label()),
+                ObjectKind.ROUTE.qualify(name),
+                key.label());
     }
 
     /** Typed access to the values of an object. */
--- a/codec/src/main/java/org/dogwoodwood/codec/log/AnnouncementRecord.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/log/AnnouncementRecord.java
@@ -34,4 +34,9 @@
         Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(host, "host");
     }
+
+    @Override
+    public String subject() {
+        return "node/" + node;
+    }
 }
--- a/codec/src/main/java/org/dogwoodwood/codec/log/ConfigurationRecord.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/log/ConfigurationRecord.java
@@ -18,4 +18,9 @@
         Objects.requireNonNull(publicationId, "publicationId");
         Objects.requireNonNull(document, "document");
     }
+
+    @Override
+    public String subject() {
+        return "configuration";
+    }
 }
--- a/codec/src/main/java/org/dogwoodwood/codec/log/DataCentreOrderRecord.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/log/DataCentreOrderRecord.java
@@ -32,4 +32,9 @@
     public DataCentreOrder toOrder() {
         return new DataCentreOrder(dataCentre, counter, state, orderId);
     }
+
+    @Override
+    public String subject() {
+        return "data-centre/" + dataCentre;
+    }
 }
--- a/codec/src/main/java/org/dogwoodwood/codec/log/ExpiryRecord.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/log/ExpiryRecord.java
@@ -16,4 +16,9 @@
         Objects.requireNonNull(node, "node");
         Objects.requireNonNull(reporter, "reporter");
     }
+
+    @Override
+    public String subject() {
+        return "node/" + node;
+    }
 }
--- a/codec/src/main/java/org/dogwoodwood/codec/log/LeaveRecord.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/log/LeaveRecord.java
@@ -14,4 +14,9 @@
     public LeaveRecord {
         Objects.requireNonNull(node, "node");
     }
+
+    @Override
+    public String subject() {
+        return "node/" + node;
+    }
 }
--- a/codec/src/main/java/org/dogwoodwood/codec/log/LogRecord.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/log/LogRecord.java
@@ -19,4 +19,7 @@
                 ExpiryRecord,
                 DataCentreOrderRecord,
                 ConfigurationRecord,
-                RenewalRecord {}
+                RenewalRecord {
+    /** Returns what the record is about; a later record about the same replaces it. */
+    String subject();
+}
--- a/codec/src/main/java/org/dogwoodwood/codec/log/RenewalRecord.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/log/RenewalRecord.java
@@ -33,4 +33,9 @@
     public AcceptedConfiguration toStatement() {
         return new AcceptedConfiguration(version, publicationId, document, readThrough);
     }
+
+    @Override
+    public String subject() {
+        return "configuration";
+    }
 }
--- a/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
+++ b/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
@@ -33,6 +33,8 @@
     CANCELLED(2013, 503, Outcome.NOT_RUN, "Send the request again if its answer is still needed."),
     GUARD_BUSY(2014, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
     KEY_REUSED(2015, 422, Outcome.NOT_RUN, "Use a new key for a different request."),
+    TARGET_REFUSED(2016, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
+    NO_CONFIGURATION(2017, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
 
     OUTCOME_UNKNOWN(3001, 502, Outcome.UNKNOWN, "Find out whether the request took effect."),
     DEADLINE_EXCEEDED(3002, 504, Outcome.UNKNOWN, "Find out whether the request took effect."),
--- a/core/src/main/java/org/dogwoodwood/core/configuration/Configuration.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/Configuration.java
@@ -10,13 +10,15 @@
  * @param dataCentres the data centres by name
  * @param callClasses the classes or tenants by name
  * @param policies the policies by name
+ * @param routes the routes by name
  */
 public record Configuration(
         long version,
         Map<String, ServiceDefinition> services,
         Map<String, DataCentreDefinition> dataCentres,
         Map<String, CallClassDefinition> callClasses,
-        Map<String, PolicyDefinition> policies) {
+        Map<String, PolicyDefinition> policies,
+        Map<String, RouteDefinition> routes) {
 
     /** Copies the maps. */
     public Configuration {
@@ -24,16 +26,27 @@
         dataCentres = Map.copyOf(dataCentres);
         callClasses = Map.copyOf(callClasses);
         policies = Map.copyOf(policies);
+        routes = Map.copyOf(routes);
+    }
+
+    /** Creates a configuration without routes. */
+    public Configuration(
+            long version,
+            Map<String, ServiceDefinition> services,
+            Map<String, DataCentreDefinition> dataCentres,
+            Map<String, CallClassDefinition> callClasses,
+            Map<String, PolicyDefinition> policies) {
+        this(version, services, dataCentres, callClasses, policies, Map.of());
     }
 
     /** Returns the configuration in force before the first publication: no objects, version 0. */
     public static Configuration empty() {
-        return new Configuration(0, Map.of(), Map.of(), Map.of(), Map.of());
+        return new Configuration(0, Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
     }
 
     /** Returns the same objects under another version. */
     public Configuration withVersion(long newVersion) {
-        return new Configuration(newVersion, services, dataCentres, callClasses, policies);
+        return new Configuration(newVersion, services, dataCentres, callClasses, policies, routes);
     }
 
     /** Returns the objects of one kind by name. */
@@ -43,6 +56,7 @@
             case DATA_CENTRE -> dataCentres;
             case CALL_CLASS -> callClasses;
             case POLICY -> policies;
+            case ROUTE -> routes;
         };
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationDraft.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationDraft.java
@@ -15,12 +15,14 @@
  * @param dataCentres the data centres
  * @param callClasses the classes
  * @param policies the policies
+ * @param routes the routes
  */
 public record ConfigurationDraft(
         List<DraftObject<ServiceDefinition>> services,
         List<DraftObject<DataCentreDefinition>> dataCentres,
         List<DraftObject<CallClassDefinition>> callClasses,
-        List<DraftObject<PolicyDefinition>> policies) {
+        List<DraftObject<PolicyDefinition>> policies,
+        List<DraftObject<RouteDefinition>> routes) {
 
     /** The name of the policy and of the class that exist without being defined. */
     public static final String DEFAULT_NAME = "default";
@@ -31,6 +33,7 @@
         dataCentres = List.copyOf(dataCentres);
         callClasses = List.copyOf(callClasses);
         policies = List.copyOf(policies);
+        routes = List.copyOf(routes);
     }
 
     /** Returns the objects of a configuration whose source is not known. */
@@ -39,12 +42,14 @@
                 unlocated(configuration.services().values()),
                 unlocated(configuration.dataCentres().values()),
                 unlocated(configuration.callClasses().values()),
-                unlocated(configuration.policies().values()));
+                unlocated(configuration.policies().values()),
+                unlocated(configuration.routes().values()));
     }
 
     /** Returns all objects. */
     public Stream<DraftObject<? extends ConfigurationObject>> objects() {
-        return Stream.of(services, dataCentres, callClasses, policies).flatMap(List::stream);
+        return Stream.of(services, dataCentres, callClasses, policies, routes)
+                .flatMap(List::stream);
     }
 
     /**
@@ -60,13 +65,18 @@
         if (!byName(policies).containsKey(DEFAULT_NAME)) {
             allPolicies.add(unlocated(PolicyDefinition.withDefaults(DEFAULT_NAME)));
         }
-        return new ConfigurationDraft(services, dataCentres, classes, allPolicies);
+        return new ConfigurationDraft(services, dataCentres, classes, allPolicies, routes);
     }
 
     /** Returns the objects under version 0; of objects with the same name the first. */
     public Configuration toConfiguration() {
         return new Configuration(
-                0, byName(services), byName(dataCentres), byName(callClasses), byName(policies));
+                0,
+                byName(services),
+                byName(dataCentres),
+                byName(callClasses),
+                byName(policies),
+                byName(routes));
     }
 
     static <T extends ConfigurationObject> Map<String, T> byName(List<DraftObject<T>> objects) {
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
@@ -54,6 +54,12 @@
             ServiceDefinition.DEFAULT_MAX_ANSWER_BYTES,
             ValueRange.closed(1, 5 << 20),
             service(ServiceDefinition::maxAnswerBytes)),
+    SERVICE_HEALTH_PATH(
+            "health_path",
+            ValueType.TEXT,
+            "",
+            ServiceDefinition.DEFAULT_HEALTH_PATH,
+            service(ServiceDefinition::healthPath)),
 
     DATA_CENTRE_REGION(
             "region", ValueType.TEXT, "", null, dataCentre(DataCentreDefinition::region)),
@@ -112,7 +118,54 @@
             "seconds",
             PolicyDefinition.DEFAULT_CRASH_HOLD_SECONDS,
             ValueRange.closed(1, 86_400),
-            policy(PolicyDefinition::crashHoldSeconds));
+            policy(PolicyDefinition::crashHoldSeconds)),
+    POLICY_COLD_CALLS_PER_SECOND(
+            "cold_calls_per_second",
+            "calls per second; 0 for no limit",
+            PolicyDefinition.DEFAULT_COLD_CALLS_PER_SECOND,
+            ValueRange.closed(0, 1_000_000),
+            policy(PolicyDefinition::coldCallsPerSecond)),
+    POLICY_COLD_START_MILLIS(
+            "cold_start_millis",
+            "milliseconds",
+            PolicyDefinition.DEFAULT_COLD_START_MILLIS,
+            ValueRange.closed(0, 600_000),
+            policy(PolicyDefinition::coldStartMillis)),
+
+    ROUTE_HOST("host", ValueType.TEXT, "", null, route(RouteDefinition::host)),
+    ROUTE_PATH_PREFIX("path_prefix", ValueType.TEXT, "", "/", route(RouteDefinition::pathPrefix)),
+    ROUTE_SHARES(
+            "shares",
+            ValueType.TEXT_LIST,
+            "",
+            null,
+            route(object -> object.shares().stream().map(ServiceShare::toString).toList())),
+    ROUTE_EXECUTION(
+            "execution", ValueType.TEXT, "", null, route(object -> object.execution().label())),
+    ROUTE_TIMEOUT_MILLIS(
+            "timeout_millis",
+            "milliseconds",
+            ServiceDefinition.DEFAULT_TIMEOUT_MILLIS,
+            ValueRange.closed(1, 600_000),
+            route(RouteDefinition::timeoutMillis)),
+    ROUTE_TARGET_LATENCY_MILLIS(
+            "target_latency_millis",
+            "milliseconds",
+            RouteDefinition.DEFAULT_TARGET_LATENCY_MILLIS,
+            ValueRange.closed(1, 600_000),
+            route(RouteDefinition::targetLatencyMillis)),
+    ROUTE_CALL_CLASS(
+            "call_class",
+            ValueType.TEXT,
+            "",
+            ConfigurationDraft.DEFAULT_NAME,
+            route(RouteDefinition::callClass)),
+    ROUTE_MAX_ATTEMPTS(
+            "max_attempts",
+            "targets",
+            RouteDefinition.DEFAULT_MAX_ATTEMPTS,
+            ValueRange.closed(1, 10),
+            route(RouteDefinition::maxAttempts));
 
     private final String label;
     private final ValueType type;
@@ -207,6 +260,10 @@
         return new Reader(ObjectKind.POLICY, object -> value.apply((PolicyDefinition) object));
     }
 
+    private static Reader route(Function<RouteDefinition, Object> value) {
+        return new Reader(ObjectKind.ROUTE, object -> value.apply((RouteDefinition) object));
+    }
+
     /** The kind of object that a key belongs to, and how its value is read. */
     private record Reader(ObjectKind kind, Function<ConfigurationObject, Object> value) {}
 }
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationObject.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationObject.java
@@ -2,7 +2,11 @@
 
 /** A named object of the configuration. */
 public sealed interface ConfigurationObject
-        permits ServiceDefinition, DataCentreDefinition, CallClassDefinition, PolicyDefinition {
+        permits ServiceDefinition,
+                DataCentreDefinition,
+                CallClassDefinition,
+                PolicyDefinition,
+                RouteDefinition {
 
     /** Returns the name, unique among the objects of its kind. */
     String name();
--- a/core/src/main/java/org/dogwoodwood/core/configuration/LimitRules.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/LimitRules.java
@@ -41,6 +41,7 @@
             }
         }
         rules.checkHosts(draft.services());
+        rules.checkRoutes(draft.routes());
     }
 
     /** A key that is forgotten before the call can end would let a repetition run again. */
@@ -152,6 +153,39 @@
         }
     }
 
+    /** Host and prefix must select one route, and each prefix must end at a path segment. */
+    private void checkRoutes(List<DraftObject<RouteDefinition>> routes) {
+        Map<String, String> owners = new HashMap<>();
+        for (DraftObject<RouteDefinition> route : routes) {
+            RouteDefinition definition = route.definition();
+            String prefix = definition.pathPrefix();
+            if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
+                contradiction(
+                        route,
+                        "path_prefix",
+                        "The prefix '" + prefix + "' does not begin and end with a slash.",
+                        "Write a prefix such as /outings/.");
+            }
+            if (definition.shares().stream().mapToInt(ServiceShare::weight).sum() == 0) {
+                contradiction(
+                        route,
+                        "shares",
+                        "The weights of the shares add up to 0, so no service takes the calls.",
+                        "Give at least one service a weight above 0.");
+            }
+            String place = definition.host().toLowerCase(Locale.ROOT) + prefix;
+            String owner = owners.putIfAbsent(place, route.qualifiedName());
+            if (owner != null) {
+                problems.accept(
+                        new ConfigurationProblem(
+                                DUPLICATE_OBJECT,
+                                route.locationOf("path_prefix"),
+                                "Host and prefix already select " + owner + ".",
+                                "Remove one of the two routes."));
+            }
+        }
+    }
+
     private void contradiction(DraftObject<?> object, String key, String message, String remedy) {
         problems.accept(
                 new ConfigurationProblem(
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ObjectKind.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ObjectKind.java
@@ -9,7 +9,8 @@
     SERVICE("service", ServiceDefinition.class),
     DATA_CENTRE("data-centre", DataCentreDefinition.class),
     CALL_CLASS("class", CallClassDefinition.class),
-    POLICY("policy", PolicyDefinition.class);
+    POLICY("policy", PolicyDefinition.class),
+    ROUTE("route", RouteDefinition.class);
 
     private final String label;
     private final Class<? extends ConfigurationObject> type;
--- a/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
@@ -12,6 +12,8 @@
  * @param ejectionShare the largest share of a service's targets that may be ejected
  * @param crashLimit targets that one request may crash before it is refused
  * @param crashHoldSeconds how long such a request is refused, in seconds
+ * @param coldCallsPerSecond calls that a cold target gets per second; 0 for no limit
+ * @param coldStartMillis how long a target is cold after its data centre came back, in milliseconds
  */
 public record PolicyDefinition(
         String name,
@@ -21,7 +23,9 @@
         int coldSlots,
         double ejectionShare,
         int crashLimit,
-        int crashHoldSeconds)
+        int crashHoldSeconds,
+        double coldCallsPerSecond,
+        int coldStartMillis)
         implements ConfigurationObject {
 
     public static final double DEFAULT_RETRY_SHARE = 0.1;
@@ -31,6 +35,8 @@
     public static final double DEFAULT_EJECTION_SHARE = 0.34;
     public static final int DEFAULT_CRASH_LIMIT = 2;
     public static final int DEFAULT_CRASH_HOLD_SECONDS = 600;
+    public static final double DEFAULT_COLD_CALLS_PER_SECOND = 0;
+    public static final int DEFAULT_COLD_START_MILLIS = 0;
 
     /** Returns a policy with the given name and all defaults. */
     public static PolicyDefinition withDefaults(String name) {
@@ -42,6 +48,8 @@
                 DEFAULT_COLD_SLOTS,
                 DEFAULT_EJECTION_SHARE,
                 DEFAULT_CRASH_LIMIT,
-                DEFAULT_CRASH_HOLD_SECONDS);
+                DEFAULT_CRASH_HOLD_SECONDS,
+                DEFAULT_COLD_CALLS_PER_SECOND,
+                DEFAULT_COLD_START_MILLIS);
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ReferenceRules.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ReferenceRules.java
@@ -48,6 +48,21 @@
                     definition.callClasses(),
                     callClasses);
         }
+        Set<String> services = names(draft.services());
+        for (DraftObject<RouteDefinition> route : draft.routes()) {
+            rules.checkNames(
+                    route,
+                    ConfigurationKey.ROUTE_SHARES,
+                    ObjectKind.SERVICE,
+                    route.definition().shares().stream().map(ServiceShare::service).toList(),
+                    services);
+            rules.checkNames(
+                    route,
+                    ConfigurationKey.ROUTE_CALL_CLASS,
+                    ObjectKind.CALL_CLASS,
+                    List.of(route.definition().callClass()),
+                    callClasses);
+        }
     }
 
     private void checkNames(
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ServiceDefinition.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ServiceDefinition.java
@@ -17,6 +17,7 @@
  * @param keyWindowSeconds how long an {@code Idempotency-Key} is remembered, in seconds
  * @param maxRequestBytes the largest request body, in bytes
  * @param maxAnswerBytes the largest answer body, in bytes
+ * @param healthPath the path at which targets tell their health
  */
 public record ServiceDefinition(
         String name,
@@ -28,7 +29,8 @@
         Set<String> idempotentMethods,
         int keyWindowSeconds,
         int maxRequestBytes,
-        int maxAnswerBytes)
+        int maxAnswerBytes,
+        String healthPath)
         implements ConfigurationObject {
 
     /** The HTTP methods that RFC 9110, section 9.2.2, defines as idempotent. */
@@ -39,6 +41,7 @@
     public static final int DEFAULT_KEY_WINDOW_SECONDS = 120;
     public static final int DEFAULT_MAX_REQUEST_BYTES = 1 << 20;
     public static final int DEFAULT_MAX_ANSWER_BYTES = 4 << 20;
+    public static final String DEFAULT_HEALTH_PATH = "/health";
 
     /** Copies the collections. */
     public ServiceDefinition {
@@ -48,6 +51,32 @@
         idempotentMethods = Set.copyOf(idempotentMethods);
     }
 
+    /** Creates a service whose targets tell their health at the usual path. */
+    public ServiceDefinition(
+            String name,
+            List<String> hosts,
+            String policy,
+            List<String> dataCentres,
+            List<String> callClasses,
+            int timeoutMillis,
+            Set<String> idempotentMethods,
+            int keyWindowSeconds,
+            int maxRequestBytes,
+            int maxAnswerBytes) {
+        this(
+                name,
+                hosts,
+                policy,
+                dataCentres,
+                callClasses,
+                timeoutMillis,
+                idempotentMethods,
+                keyWindowSeconds,
+                maxRequestBytes,
+                maxAnswerBytes,
+                DEFAULT_HEALTH_PATH);
+    }
+
     /** Returns whether a call with the given HTTP method may run more than once. */
     public boolean isIdempotent(String method) {
         return idempotentMethods.contains(method);
--- /dev/null
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ServiceShare.java
@@ -0,0 +1,41 @@
+package org.dogwoodwood.core.configuration;
+
+import java.util.Optional;
+
+/**
+ * The part of a route's calls that one service takes.
+ *
+ * @param service the name of the service
+ * @param weight the part relative to the weights of the route's other services, at least 0
+ */
+public record ServiceShare(String service, int weight) {
+
+    private static final int WHOLE_WEIGHT = 100;
+
+    /**
+     * Returns the share that a text such as {@code outings=90} or {@code outings} names, or empty
+     * if it is malformed.
+     */
+    public static Optional<ServiceShare> parse(String text) {
+        int equals = text.indexOf('=');
+        if (equals < 0) {
+            return text.isBlank()
+                    ? Optional.empty()
+                    : Optional.of(new ServiceShare(text, WHOLE_WEIGHT));
+        }
+        try {
+            int weight = Integer.parseInt(text.substring(equals + 1).trim());
+            String service = text.substring(0, equals).trim();
+            return weight < 0 || service.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(new ServiceShare(service, weight));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public String toString() {
+        return service + "=" + weight;
+    }
+}
--- a/core/src/main/java/org/dogwoodwood/core/retry/DefaultRetryStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/retry/DefaultRetryStrategy.java
@@ -19,7 +19,11 @@
 
     /** Refusals that another target, or another incarnation, may well not repeat. */
     private static final Set<ErrorCode> LOCAL_REFUSALS =
-            EnumSet.of(ErrorCode.INCARNATION_CHANGED, ErrorCode.KEY_NOT_OWNED, ErrorCode.NO_TARGET);
+            EnumSet.of(
+                    ErrorCode.INCARNATION_CHANGED,
+                    ErrorCode.KEY_NOT_OWNED,
+                    ErrorCode.NO_TARGET,
+                    ErrorCode.TARGET_REFUSED);
 
     /**
      * Refusals that cost one message and no work. While a data centre leaves, they come faster than
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -36,8 +36,6 @@
 /** One node: the ingress and the guard on the traffic loop, and the control plane beside them. */
 public final class Node {
 
-    // Peers and callers need this long to learn that the node is leaving.
-    private static final long LEAVE_MILLIS = 300;
     private static final long POLL_IDLE_MILLIS = 20;
     // Without the platform log keys cannot be handed over; the next owner then waits for the
     // window.
@@ -117,7 +115,7 @@
                 .compose(ignored -> control.announceLeaving())
                 .recover(failure -> Future.succeededFuture())
                 .compose(ignored -> loop.run(this::leaveTraffic))
-                .compose(ignored -> delay(LEAVE_MILLIS))
+                .compose(ignored -> delay(settings.budgets().leaveMillis()))
                 .compose(ignored -> awaitIdle(System.nanoTime() + limitMillis * 1_000_000L))
                 .compose(ignored -> awaitHandover(System.nanoTime() + HANDOVER_LIMIT_NANOS))
                 .compose(ignored -> closeAll());
@@ -153,6 +151,25 @@
         return identity;
     }
 
+    /** Returns whether the node may be sent requests; may be called on any thread. */
+    public boolean isReady() {
+        return !leaving && control != null && control.isReady();
+    }
+
+    /**
+     * Takes in what the target beside this node announces; may be called on any thread.
+     *
+     * @param announcement the announcement, not null
+     * @return completes when the guard keeps to it
+     */
+    public Future<Void> announceTarget(TargetAnnouncement announcement) {
+        return loop.run(
+                () -> {
+                    guard.onAnnouncement(announcement);
+                    return Future.succeededFuture();
+                });
+    }
+
     /** Returns the metrics. */
     public NodeMetrics metrics() {
         return metrics;
@@ -207,7 +224,7 @@
         Optional<IdempotencyRegistry> registry = keys.map(service -> service);
         guard =
                 Guard.create(
-                        vertx, identity, control, registry.or(parts::keys), budget, metrics, log);
+                        vertx, identity, control, registry, parts.target(), budget, metrics, log);
         keys.ifPresent(service -> guard.setServiceListener(service::onOwnService));
         guard.start();
         keys.ifPresent(KeyService::start);
@@ -242,7 +259,7 @@
                         settings.budgets().slowSenderMillis(),
                         IngressLimits.DEFAULT.maxTimeoutMillis(),
                         IngressLimits.DEFAULT.maxHeaderBytes());
-        ingressServer = IngressServer.create(vertx, ingress, limits, metrics, log);
+        ingressServer = IngressServer.create(vertx, ingress, limits, parts.callers(), metrics, log);
         Endpoint address = settings.callerAddress();
         return listen(ingressServer.start(address), "caller", address)
                 .compose(
@@ -253,7 +270,7 @@
     }
 
     private KeyRouter router() {
-        return keys.isPresent() ? keys.get() : parts.keyRouter();
+        return keys.isPresent() ? keys.get() : KeyRouter.none();
     }
 
     private Future<Integer> startAdmin() {
--- a/node/src/main/java/org/dogwoodwood/node/NodeParts.java
+++ b/node/src/main/java/org/dogwoodwood/node/NodeParts.java
@@ -1,30 +1,35 @@
 package org.dogwoodwood.node;
 
 import java.util.Objects;
-import java.util.Optional;
-import org.dogwoodwood.core.idempotency.IdempotencyRegistry;
 import org.dogwoodwood.node.control.ControlPlaneFactory;
-import org.dogwoodwood.node.ingress.KeyRouter;
+import org.dogwoodwood.node.guard.DefaultTargetProtocol;
+import org.dogwoodwood.node.guard.TargetProtocol;
+import org.dogwoodwood.node.ingress.CallerProtocol;
+import org.dogwoodwood.node.ingress.DefaultCallerProtocol;
+import org.dogwoodwood.node.ingress.IngressLimits;
 
 /**
  * What other packages contribute to a node.
  *
  * @param control creates the control plane
- * @param keys the keys that the guard owns, empty to run keyed calls like others
- * @param keyRouter finds the owners of keys
+ * @param callers how callers speak to the ingress
+ * @param target how the guard speaks to its target
  */
 public record NodeParts(
-        ControlPlaneFactory control, Optional<IdempotencyRegistry> keys, KeyRouter keyRouter) {
+        ControlPlaneFactory control, CallerProtocol callers, TargetProtocol target) {
 
     /** Checks that the references are present. */
     public NodeParts {
         Objects.requireNonNull(control, "control");
-        Objects.requireNonNull(keys, "keys");
-        Objects.requireNonNull(keyRouter, "keyRouter");
+        Objects.requireNonNull(callers, "callers");
+        Objects.requireNonNull(target, "target");
     }
 
-    /** Returns parts without owners of keys. */
+    /** Returns parts that speak the product's own interfaces. */
     public static NodeParts of(ControlPlaneFactory control) {
-        return new NodeParts(control, Optional.empty(), KeyRouter.none());
+        return new NodeParts(
+                control,
+                DefaultCallerProtocol.create(IngressLimits.DEFAULT),
+                DefaultTargetProtocol.create());
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
@@ -0,0 +1,75 @@
+package org.dogwoodwood.node;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.logging.LogEvent;
+import org.dogwoodwood.node.settings.NodeSettings;
+
+/** Starts a node in a process of its own and stops it gracefully when the process ends. */
+public final class NodeProcess {
+
+    // One loop for traffic and one for control.
+    private static final int EVENT_LOOPS = 2;
+    private static final int WORKERS = 2;
+    private static final int START_SECONDS = 30;
+    private static final int STOP_MARGIN_SECONDS = 5;
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    private NodeProcess() {}
+
+    /** Returns the event loops of a node's process. */
+    public static Vertx createVertx() {
+        // The VMs have no disks, so nothing may be cached in files.
+        FileSystemOptions files =
+                new FileSystemOptions()
+                        .setFileCachingEnabled(false)
+                        .setClassPathResolvingEnabled(false);
+        return Vertx.vertx(
+                new VertxOptions()
+                        .setEventLoopPoolSize(EVENT_LOOPS)
+                        .setWorkerPoolSize(WORKERS)
+                        .setInternalBlockingPoolSize(WORKERS)
+                        .setFileSystemOptions(files));
+    }
+
+    /**
+     * Starts a node, which SIGTERM stops from here on.
+     *
+     * @return whether the node accepts requests; if not, the reason is logged and Vert.x closed
+     */
+    public static boolean start(Vertx vertx, Node node, NodeSettings settings, EventLog log) {
+        try {
+            node.start()
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(START_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException | InterruptedException e) {
+            Throwable cause = e instanceof ExecutionException ? e.getCause() : e;
+            log.write(LogEvent.NODE_FAILED, "message", String.valueOf(cause));
+            vertx.close();
+            return false;
+        }
+        int limitSeconds =
+                settings.budgets().stopSeconds()
+                        + settings.budgets().leaveMillis() / MILLIS_PER_SECOND
+                        + STOP_MARGIN_SECONDS;
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, log, limitSeconds)));
+        return true;
+    }
+
+    private static void stop(Node node, EventLog log, int limitSeconds) {
+        try {
+            node.stop()
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(limitSeconds, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException | InterruptedException e) {
+            log.write(LogEvent.NODE_FAILED, "message", "The graceful stop failed: " + e);
+        }
+    }
+}
--- a/node/src/main/java/org/dogwoodwood/node/control/AbsentPlatformLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/AbsentPlatformLog.java
@@ -8,7 +8,7 @@
 final class AbsentPlatformLog implements PlatformLog {
 
     @Override
-    public Future<Long> append(String stream, String publicationId, byte[] data) {
+    public Future<Long> append(String stream, String subject, String publicationId, byte[] data) {
         return unavailable();
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/control/ConfigurationKeeper.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ConfigurationKeeper.java
@@ -24,7 +24,7 @@
 import org.dogwoodwood.node.peer.PeerTransport;
 
 /** Keeps the configuration in force, from the log and from peers; used on the control thread. */
-final class ConfigurationKeeper implements LogReader.Listener {
+final class ConfigurationKeeper implements LogReader.EntryListener {
 
     private static final long FETCH_TIMEOUT_MILLIS = 2_000;
     private static final long LOG_HEAD_START_MILLIS = 750;
@@ -115,6 +115,13 @@
         ledger.onExpired(firstOffset);
     }
 
+    /** Takes in a configuration that operators have published outside the log of publications. */
+    void onPublished(long version, String document) {
+        // -2 lies before any record, so that no reader takes it as a statement about the log.
+        ledger.adopt(new AcceptedConfiguration(version, "", document, -2));
+        publishIfChanged();
+    }
+
     /** Compares the version that a peer told with the one in force, and fetches a later one. */
     void onMessage(GossipMessage message, boolean logReachable) {
         long own = ledger.inForce().version();
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlReport.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlReport.java
@@ -22,7 +22,7 @@
     private final MembershipTable table;
     private final DataCentreOrders orders;
     private final ConfigurationKeeper configuration;
-    private final LogReader configurationReader;
+    private final ConfigurationSource configurationReader;
     private final LogReader membershipReader;
     private final LogAppender appender;
     private final boolean ready;
@@ -32,7 +32,7 @@
             MembershipTable table,
             DataCentreOrders orders,
             ConfigurationKeeper configuration,
-            LogReader configurationReader,
+            ConfigurationSource configurationReader,
             LogReader membershipReader,
             LogAppender appender,
             boolean ready) {
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -32,7 +32,7 @@
 import org.dogwoodwood.node.peer.PeerTransport;
 
 /** The parts of a control plane and the state that they share; used on the control thread. */
-final class ControlState implements GossipExchanger.Listener {
+final class ControlState implements GossipExchanger.Listener, ConfigurationSource.Listener {
 
     private static final long PUBLISH_DELAY_MILLIS = 20;
     private static final long MAX_PUBLISH_DELAY_MILLIS = 500;
@@ -45,6 +45,7 @@
 
     private final Vertx vertx;
     private final ControlSettings settings;
+    private final ControlParts parts;
     private final CrashEvidence crashEvidence;
     private final Consumer<RoutingTable> publisher;
     private final EventLog events;
@@ -56,7 +57,7 @@
     private final LogAppender appender;
     private final ConfigurationKeeper configuration;
     private final MembershipKeeper membership;
-    private final LogReader configurationReader;
+    private final ConfigurationSource configurationReader;
     private final LogReader membershipReader;
     private final RoutingTableBuilder routes;
     private RoutingTable published = RoutingTable.empty();
@@ -71,24 +72,20 @@
             Vertx vertx,
             PeerTransport transport,
             ControlSettings settings,
+            ControlParts parts,
             RandomGenerator random,
             CrashEvidence crashEvidence,
             Consumer<RoutingTable> publisher,
             EventLog events) {
         this.vertx = vertx;
         this.settings = settings;
+        this.parts = parts;
         this.crashEvidence = crashEvidence;
         this.publisher = publisher;
         this.events = events;
-        this.log =
-                settings.logAddress()
-                        .<PlatformLog>map(
-                                address ->
-                                        HttpPlatformLog.create(
-                                                vertx, address.host(), address.port()))
-                        .orElseGet(AbsentPlatformLog::new);
+        this.log = parts.log().apply(vertx);
         this.announcedIncarnation = settings.incarnation();
-        ControlTimes times = settings.times();
+        ControlTimes times = parts.times();
         Member self =
                 new Member(
                         settings.node(),
@@ -123,13 +120,20 @@
                         appender,
                         this::rankOf,
                         this::onOrder,
-                        random);
+                        random,
+                        parts.keyedCalls());
         this.configurationReader =
-                new LogReader(
-                        vertx, log, LogStreams.CONFIGURATION, times, random, configuration, events);
+                parts.configuration()
+                        .map(source -> source.apply(vertx, this))
+                        .orElseGet(() -> publications(random));
         this.membershipReader =
                 new LogReader(vertx, log, LogStreams.MEMBERSHIP, times, random, membership, events);
-        this.routes = new RoutingTableBuilder(table, orders);
+        this.routes = new RoutingTableBuilder(table, orders, parts.keyedCalls());
+    }
+
+    private ConfigurationSource publications(RandomGenerator random) {
+        return new LogReader(
+                vertx, log, LogStreams.CONFIGURATION, parts.times(), random, configuration, events);
     }
 
     void start() {
@@ -251,10 +255,37 @@
         }
     }
 
+    @Override
+    public void onConfiguration(long version, String document) {
+        configuration.onPublished(version, document);
+    }
+
+    @Override
+    public void onOrders(List<DataCentreOrder> given) {
+        boolean changed = false;
+        for (DataCentreOrder order : given) {
+            if (orders.merge(order)) {
+                strategy.onOrder(order);
+                changed = true;
+            }
+        }
+        if (changed) {
+            onOrder();
+        }
+    }
+
+    @Override
+    public void onRead() {
+        updateReadiness();
+    }
+
     @Override
     public void onMessage(GossipMessage message) {
         crashEvidence.merge(message.crashReports(), System.nanoTime());
         configuration.onMessage(message, configurationReader.isReachable());
+        if (message.configurationVersion() > configuration.configuration().version()) {
+            configurationReader.refresh();
+        }
         updateReadiness();
         schedulePublish();
     }
@@ -311,9 +342,14 @@
         boolean readToEnd =
                 configurationReader.isCaughtUp()
                         && membershipReader.isCaughtUp()
-                        && configuration.ledger().isLogStateKnown();
+                        && configuration.ledger().isLogStateKnown()
+                        && (parts.configuration().isEmpty()
+                                || configuration.configuration().version() > 0);
         // Without a log there is no published configuration to wait for.
-        boolean standalone = settings.logAddress().isEmpty() && settings.seeds().isEmpty();
+        boolean standalone =
+                parts.configuration().isEmpty()
+                        && settings.logAddress().isEmpty()
+                        && settings.seeds().isEmpty();
         if (readToEnd || standalone || configuration.hasLearnedFromReadyPeer()) {
             ready = true;
             table.updateSelf(table.self().withReady(true), System.nanoTime());
@@ -330,7 +366,7 @@
             unknownSinceNanos = -1;
         } else if (unknownSinceNanos < 0) {
             unknownSinceNanos = now;
-        } else if (now - unknownSinceNanos > 2_000_000 * settings.times().rankDelayMillis()) {
+        } else if (now - unknownSinceNanos > 2_000_000 * parts.times().rankDelayMillis()) {
             configuration.assumeFromFirstRetained();
         }
     }
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
@@ -47,6 +47,24 @@
                 MembershipTimings.defaults());
     }
 
+    /**
+     * Returns the times for a log that keeps the newest record about each subject for ever, where
+     * each read has a price and no owner of keys depends on it.
+     */
+    public static ControlTimes forKeptLog() {
+        return new ControlTimes(
+                250,
+                400,
+                20_000,
+                500,
+                1_000,
+                4_000,
+                5_200 * DAY_MILLIS,
+                15_000,
+                10_000,
+                MembershipTimings.defaults());
+    }
+
     /** Returns these times for a log with another retention time. */
     public ControlTimes withRetentionMillis(long newRetentionMillis) {
         return new ControlTimes(
--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -36,6 +36,7 @@
     private final Vertx vertx;
     private final PeerTransport transport;
     private final ControlSettings settings;
+    private final ControlParts parts;
     private final RandomGenerator random;
     private final EventLog events;
     private final List<Consumer<RoutingTable>> listeners = new CopyOnWriteArrayList<>();
@@ -54,11 +55,13 @@
             Vertx vertx,
             PeerTransport transport,
             ControlSettings settings,
+            ControlParts parts,
             RandomGenerator random,
             EventLog events) {
         this.vertx = vertx;
         this.transport = transport;
         this.settings = settings;
+        this.parts = parts;
         this.random = random;
         this.crashEvidence = RegistryCrashEvidence.create(settings.node(), settings.incarnation());
         this.events = events;
@@ -79,7 +82,17 @@
             ControlSettings settings,
             RandomGenerator random,
             EventLog events) {
-        return new DefaultControlPlane(vertx, transport, settings, random, events);
+        return create(vertx, transport, settings, ControlParts.of(settings), random, events);
+    }
+
+    private static DefaultControlPlane create(
+            Vertx vertx,
+            PeerTransport transport,
+            ControlSettings settings,
+            ControlParts parts,
+            RandomGenerator random,
+            EventLog events) {
+        return new DefaultControlPlane(vertx, transport, settings, parts, random, events);
     }
 
     /**
@@ -89,18 +102,37 @@
      * @param node what the node gives to its control plane, not null
      */
     public static DefaultControlPlane from(ControlContext node) {
-        ControlSettings settings =
-                new ControlSettings(
-                        node.identity().node(),
-                        node.identity().incarnation(),
-                        new NodeAddress(
-                                node.settings().dataCentre(),
-                                node.peerAddress().host(),
-                                node.peerAddress().port(),
-                                node.callerAddress().port()),
-                        node.settings().logAddress(),
-                        node.settings().seeds(),
-                        ControlTimes.defaults());
+        ControlSettings settings = settingsOf(node, ControlTimes.defaults());
+        return from(node, settings, ControlParts.of(settings));
+    }
+
+    /**
+     * Returns a control plane for a node that is made of the given parts, and adds its routes to
+     * the admin port.
+     *
+     * @param node what the node gives to its control plane, not null
+     * @param parts the parts, not null
+     */
+    public static DefaultControlPlane from(ControlContext node, ControlParts parts) {
+        return from(node, settingsOf(node, parts.times()), parts);
+    }
+
+    private static ControlSettings settingsOf(ControlContext node, ControlTimes times) {
+        return new ControlSettings(
+                node.identity().node(),
+                node.identity().incarnation(),
+                new NodeAddress(
+                        node.settings().dataCentre(),
+                        node.peerAddress().host(),
+                        node.peerAddress().port(),
+                        node.callerAddress().port()),
+                node.settings().logAddress(),
+                node.settings().seeds(),
+                times);
+    }
+
+    private static DefaultControlPlane from(
+            ControlContext node, ControlSettings settings, ControlParts parts) {
         long seed =
                 StableHash.combine(StableHash.of(settings.node().value()), settings.incarnation());
         DefaultControlPlane control =
@@ -108,6 +140,7 @@
                         node.vertx(),
                         node.transport(),
                         settings,
+                        parts,
                         new SplittableRandom(seed),
                         node.log());
         ControlRoutes.add(node.admin(), control);
@@ -210,7 +243,7 @@
 
     @Override
     public Optional<MembershipLog> membershipLog() {
-        return Optional.of(this);
+        return parts.keyedCalls() ? Optional.of(this) : Optional.empty();
     }
 
     @Override
@@ -242,7 +275,14 @@
         context = ownContext;
         state =
                 new ControlState(
-                        vertx, transport, settings, random, crashEvidence, this::publish, events);
+                        vertx,
+                        transport,
+                        settings,
+                        parts,
+                        random,
+                        crashEvidence,
+                        this::publish,
+                        events);
         entryListeners.forEach(state::onMembershipEntry);
         endListeners.forEach(state::onMembershipEnd);
         expiryListeners.forEach(state::onMembershipExpired);
--- a/node/src/main/java/org/dogwoodwood/node/control/HttpPlatformLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/HttpPlatformLog.java
@@ -42,7 +42,7 @@
     }
 
     @Override
-    public Future<Long> append(String stream, String publicationId, byte[] data) {
+    public Future<Long> append(String stream, String subject, String publicationId, byte[] data) {
         RequestOptions options =
                 options(HttpMethod.POST, "/v1/streams/" + stream + "/records", 0)
                         .putHeader("Publication-Id", publicationId);
--- a/node/src/main/java/org/dogwoodwood/node/control/LogAppender.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogAppender.java
@@ -71,7 +71,7 @@
             return;
         }
         byte[] data = LogRecordCodec.encode(content);
-        pending.put(key, new Pending(key, stream, publicationId, data, urgent));
+        pending.put(key, new Pending(key, stream, content.subject(), publicationId, data, urgent));
         schedule();
     }
 
@@ -122,7 +122,7 @@
         }
         Pending entry = next.get();
         inFlight = true;
-        log.append(entry.stream, entry.publicationId, entry.data)
+        log.append(entry.stream, entry.subject, entry.publicationId, entry.data)
                 .onComplete(offset -> onAppended(entry), failure -> onFailed(entry, failure));
     }
 
@@ -157,14 +157,21 @@
     private static final class Pending {
         private final String key;
         private final String stream;
+        private final String subject;
         private final String publicationId;
         private final byte[] data;
         private final boolean urgent;
 
         private Pending(
-                String key, String stream, String publicationId, byte[] data, boolean urgent) {
+                String key,
+                String stream,
+                String subject,
+                String publicationId,
+                byte[] data,
+                boolean urgent) {
             this.key = key;
             this.stream = stream;
+            this.subject = subject;
             this.publicationId = publicationId;
             this.data = data;
             this.urgent = urgent;
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -11,7 +11,7 @@
 import org.dogwoodwood.node.logging.LogEvent;
 
 /** Reads one stream of the log from its start, then by long poll; used on the control thread. */
-final class LogReader {
+final class LogReader implements ConfigurationSource {
 
     private static final int MAX_RECORDS = 500;
     private static final int REMEMBERED_IDS = 10_000;
@@ -21,7 +21,7 @@
     private final PlatformLog log;
     private final String stream;
     private final ControlTimes times;
-    private final Listener listener;
+    private final EntryListener listener;
     private final EventLog events;
     private final Backoff backoff;
     private final Set<String> recentIds = new LinkedHashSet<>();
@@ -31,7 +31,7 @@
     private long sentNanos;
 
     /** Is told of what was read, in log order, on the control thread. */
-    interface Listener {
+    interface EntryListener {
 
         /** Takes in a record whose publication id was not seen shortly before. */
         void onEntry(LogEntry entry);
@@ -55,7 +55,7 @@
             String stream,
             ControlTimes times,
             RandomGenerator random,
-            Listener listener,
+            EntryListener listener,
             EventLog events) {
         this.vertx = vertx;
         this.log = log;
@@ -66,28 +66,30 @@
         this.backoff = new Backoff(times.retryMillis(), random);
     }
 
-    void start() {
+    @Override
+    public void start() {
         readNext();
     }
 
-    void stop() {
+    @Override
+    public void stop() {
         stopped = true;
     }
 
-    /** Returns whether the end of the stream was reached at least once. */
-    boolean isCaughtUp() {
+    @Override
+    public boolean isCaughtUp() {
         return caughtUp;
     }
 
-    /** Returns whether the last read succeeded, or one that waits is not overdue. */
-    boolean isReachable() {
+    @Override
+    public boolean isReachable() {
         long waitedMillis = (System.nanoTime() - sentNanos) / 1_000_000;
         long allowed = times.pollWaitMillis() + times.exchangeTimeoutMillis();
         return caughtUp && backoff.failures() == 0 && waitedMillis <= allowed;
     }
 
-    /** Returns the offset to read next. */
-    long nextOffset() {
+    @Override
+    public long nextOffset() {
         return nextOffset;
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/control/MembershipKeeper.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/MembershipKeeper.java
@@ -30,7 +30,7 @@
  * Takes in the stream {@code membership} and keeps this node's records and the data centre orders
  * on it; used on the control thread.
  */
-final class MembershipKeeper implements LogReader.Listener {
+final class MembershipKeeper implements LogReader.EntryListener {
 
     private static final String ANNOUNCEMENT_KEY = "announcement";
     private static final String LEAVE_KEY = "leave";
@@ -46,6 +46,7 @@
     private final LogAppender appender;
     private final ToIntFunction<String> rankOf;
     private final Runnable orderListener;
+    private final boolean keyedCalls;
     private final double renewalJitter;
     private final RegistrationList registrations = RegistrationList.create();
     private final Map<String, RecordedOrder> recordedOrders = new HashMap<>();
@@ -65,7 +66,8 @@
             LogAppender appender,
             ToIntFunction<String> rankOf,
             Runnable orderListener,
-            RandomGenerator random) {
+            RandomGenerator random,
+            boolean keyedCalls) {
         this.settings = settings;
         this.table = table;
         this.orders = orders;
@@ -73,6 +75,7 @@
         this.appender = appender;
         this.rankOf = rankOf;
         this.orderListener = orderListener;
+        this.keyedCalls = keyedCalls;
         this.renewalJitter = random.nextDouble() * RENEWAL_JITTER;
     }
 
@@ -143,7 +146,7 @@
         Member self = table.self();
         boolean announces =
                 self.target().isPresent() && self.target().state() != TargetState.LEAVING;
-        if (announces && isOutOfService(self)) {
+        if (announces && keyedCalls && isOutOfService(self)) {
             withdraw(self);
             return;
         }
--- a/node/src/main/java/org/dogwoodwood/node/control/PlatformLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/PlatformLog.java
@@ -12,9 +12,13 @@
     /**
      * Appends a record. After a failure the caller repeats the append with the same id.
      *
+     * @param stream the stream, not null
+     * @param subject what the record is about; a log may drop an earlier record about the same
+     * @param publicationId the id of the record, not null
+     * @param data its bytes, not null
      * @return the offset, or a failure that is a {@link DogwoodwoodException}
      */
-    Future<Long> append(String stream, String publicationId, byte[] data);
+    Future<Long> append(String stream, String subject, String publicationId, byte[] data);
 
     /**
      * Reads records.
@@ -63,7 +67,8 @@
 
         private final long firstOffset;
 
-        OffsetExpiredException(long firstOffset) {
+        /** Creates the failure; {@code firstOffset} is the first retained offset. */
+        public OffsetExpiredException(long firstOffset) {
             super(ErrorCode.OFFSET_EXPIRED, "The log begins at offset " + firstOffset + ".");
             this.firstOffset = firstOffset;
         }
--- a/node/src/main/java/org/dogwoodwood/node/control/RoutingTableBuilder.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/RoutingTableBuilder.java
@@ -17,12 +17,14 @@
 
     private final MembershipTable table;
     private final DataCentreOrders orders;
+    private final boolean leases;
     private Map<String, List<RouteTarget>> targets = Map.of();
     private long tableChanges = -1;
     private long ordersHash;
     private boolean isolated;
 
-    RoutingTableBuilder(MembershipTable table, DataCentreOrders orders) {
+    RoutingTableBuilder(MembershipTable table, DataCentreOrders orders, boolean leases) {
+        this.leases = leases;
         this.table = table;
         this.orders = orders;
     }
@@ -43,7 +45,7 @@
         return new RoutingTable(
                 configuration,
                 targets,
-                table.ownLeaseUntilNanos(nowNanos),
+                leases ? table.ownLeaseUntilNanos(nowNanos) : Long.MAX_VALUE,
                 orders.isOut(table.self().address().dataCentre()),
                 crashes.blocked(nowNanos),
                 crashes.suspect(nowNanos));
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/guard/DefaultTargetProtocol.java
@@ -0,0 +1,76 @@
+package org.dogwoodwood.node.guard;
+
+import io.vertx.core.MultiMap;
+import java.util.List;
+import java.util.Optional;
+import org.dogwoodwood.codec.wire.CallFrame;
+import org.dogwoodwood.core.model.HeaderField;
+import org.dogwoodwood.node.guard.PollReading.Kind;
+import org.dogwoodwood.node.http.Headers;
+
+/** The product's own interface for targets, as {@code docs/interfaces.md} describes it. */
+public final class DefaultTargetProtocol implements TargetProtocol {
+
+    private static final String LOAD_PATH = "/load";
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_NOT_FOUND = 404;
+
+    private DefaultTargetProtocol() {}
+
+    /** Returns the protocol. */
+    public static DefaultTargetProtocol create() {
+        return new DefaultTargetProtocol();
+    }
+
+    @Override
+    public List<HeaderField> headersFor(
+            CallFrame frame, TargetAnnouncement target, long remainingMillis) {
+        return Headers.forTarget(frame, remainingMillis);
+    }
+
+    @Override
+    public Reading read(CallFrame frame, int status, MultiMap headers) {
+        return Reading.ANSWER;
+    }
+
+    @Override
+    public Optional<TargetCondition> conditionOf(MultiMap headers) {
+        return Optional.empty();
+    }
+
+    @Override
+    public List<String> pollPaths(String healthPath) {
+        return List.of(LOAD_PATH, healthPath);
+    }
+
+    @Override
+    public PollReading readPoll(String path, PollAnswer answer) {
+        boolean isLoad = path.equals(LOAD_PATH);
+        if (isLoad && answer.status() == STATUS_NOT_FOUND) {
+            return PollReading.of(Kind.UNKNOWN_PATH);
+        }
+        if (answer.status() != STATUS_OK) {
+            return PollReading.of(Kind.FAILING);
+        }
+        if (!isLoad) {
+            return PollReading.of(Kind.HEALTHY);
+        }
+        return TargetLoadDocument.parse(answer.body())
+                .map(DefaultTargetProtocol::toReading)
+                .orElseGet(() -> PollReading.of(Kind.MALFORMED));
+    }
+
+    @Override
+    public boolean announcementShowsLife() {
+        return false;
+    }
+
+    private static PollReading toReading(TargetLoadDocument load) {
+        return new PollReading(
+                Kind.HEALTHY,
+                Optional.ofNullable(load.slots()),
+                Optional.ofNullable(load.cold()),
+                Optional.ofNullable(load.draining()),
+                Optional.ofNullable(load.incarnation()).map(String::valueOf));
+    }
+}
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -29,7 +29,6 @@
 import org.dogwoodwood.core.model.Outcome;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.control.ControlPlane;
-import org.dogwoodwood.node.http.Headers;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.peer.AttemptAnswer;
@@ -49,6 +48,7 @@
     private final PeerIdentity identity;
     private final ControlPlane control;
     private final StartChecks checks;
+    private final TargetProtocol protocol;
     private final Optional<IdempotencyRegistry> keys;
     private final CallRegistry registry = CallRegistry.create();
     private final AdmissionHolder admission;
@@ -66,6 +66,7 @@
             PeerIdentity identity,
             ControlPlane control,
             Optional<IdempotencyRegistry> keys,
+            TargetProtocol protocol,
             MeasurementBudget budget,
             NodeMetrics metrics,
             EventLog log) {
@@ -74,15 +75,19 @@
         this.control = Objects.requireNonNull(control, "control");
         this.checks = new StartChecks(control::routingTable);
         this.keys = Objects.requireNonNull(keys, "keys");
+        this.protocol = Objects.requireNonNull(protocol, "protocol");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.admission = new AdmissionHolder(control::routingTable);
-        this.monitor = new TargetMonitor(vertx, budget, log, new TargetListener());
+        this.monitor =
+                new TargetMonitor(
+                        vertx, protocol, this::healthPathOf, budget, log, new TargetListener());
     }
 
     /**
      * Returns a guard without a target.
      *
      * @param keys the keys that this guard owns, or empty to run keyed calls like others
+     * @param protocol how the target is spoken to, not null
      * @param budget the budget for polls of the target, not null
      */
     public static Guard create(
@@ -90,10 +95,11 @@
             PeerIdentity identity,
             ControlPlane control,
             Optional<IdempotencyRegistry> keys,
+            TargetProtocol protocol,
             MeasurementBudget budget,
             NodeMetrics metrics,
             EventLog log) {
-        return new Guard(vertx, identity, control, keys, budget, metrics, log);
+        return new Guard(vertx, identity, control, keys, protocol, budget, metrics, log);
     }
 
     /** Starts to watch the target; must be called on the traffic loop. */
@@ -290,8 +296,11 @@
         TargetExchange exchange =
                 monitor.client()
                         .send(
-                                call.frame().request(),
-                                Headers.forTarget(call.frame(), remainingMillis),
+                                call.frame(),
+                                protocol.headersFor(
+                                        call.frame(),
+                                        monitor.announcement().orElseThrow(),
+                                        remainingMillis),
                                 maxAnswerBytes(call.frame().service()),
                                 remainingMillis,
                                 result -> onResult(call, result));
@@ -374,6 +383,12 @@
         return AttemptAnswer.of(finished, report());
     }
 
+    private String healthPathOf(String service) {
+        ServiceDefinition definition =
+                control.routingTable().configuration().services().get(service);
+        return definition == null ? ServiceDefinition.DEFAULT_HEALTH_PATH : definition.healthPath();
+    }
+
     private int maxAnswerBytes(String service) {
         ServiceDefinition definition =
                 control.routingTable().configuration().services().get(service);
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
@@ -9,7 +9,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
 import java.util.function.Consumer;
-import org.dogwoodwood.codec.wire.RequestContent;
+import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.node.settings.Endpoint;
 
@@ -25,12 +25,14 @@
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
     private final Vertx vertx;
+    private final TargetProtocol protocol;
     private final Endpoint address;
     private final HttpClient calls;
     private final HttpClient polls;
 
-    private TargetClient(Vertx vertx, Endpoint address, int connections) {
+    private TargetClient(Vertx vertx, TargetProtocol protocol, Endpoint address, int connections) {
         this.vertx = vertx;
+        this.protocol = protocol;
         this.address = address;
         // One of the target's connections is kept for polls.
         int callConnections = Math.max(1, connections - 1);
@@ -40,23 +42,24 @@
         this.polls = vertx.createHttpClient(options(), new PoolOptions().setHttp1MaxSize(1));
     }
 
-    static TargetClient create(Vertx vertx, Endpoint address, int connections) {
-        return new TargetClient(vertx, address, connections);
+    static TargetClient create(
+            Vertx vertx, TargetProtocol protocol, Endpoint address, int connections) {
+        return new TargetClient(vertx, protocol, address, connections);
     }
 
     TargetExchange send(
-            RequestContent content,
+            CallFrame frame,
             List<HeaderField> extraHeaders,
             int maxAnswerBytes,
             long timeoutMillis,
             Consumer<TargetResult> listener) {
         TargetExchange exchange =
-                new TargetExchange(vertx, content, extraHeaders, maxAnswerBytes, listener);
+                new TargetExchange(vertx, protocol, frame, extraHeaders, maxAnswerBytes, listener);
         exchange.start(calls, requestOptions(), timeoutMillis);
         return exchange;
     }
 
-    /** Fetches a small document; fails if the target does not answer with status 200. */
+    /** Fetches a small document; fails if the target does not answer. */
     Future<PollAnswer> poll(String path) {
         RequestOptions options =
                 requestOptions().setMethod(HttpMethod.GET).setURI(path).setTimeout(POLL_MILLIS);
@@ -69,6 +72,7 @@
                                                 body ->
                                                         new PollAnswer(
                                                                 response.statusCode(),
+                                                                response.headers(),
                                                                 body.toString())));
     }
 
@@ -88,7 +92,4 @@
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setTcpNoDelay(true);
     }
-
-    /** The status and body of a poll. */
-    record PollAnswer(int status, String body) {}
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -8,7 +8,9 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
+import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.codec.wire.RequestContent;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.calls.FinishedCall;
@@ -20,6 +22,8 @@
 final class TargetExchange {
 
     private final Vertx vertx;
+    private final TargetProtocol protocol;
+    private final CallFrame frame;
     private final RequestContent content;
     private final List<HeaderField> extraHeaders;
     private final int maxAnswerBytes;
@@ -31,12 +35,15 @@
 
     TargetExchange(
             Vertx vertx,
-            RequestContent content,
+            TargetProtocol protocol,
+            CallFrame frame,
             List<HeaderField> extraHeaders,
             int maxAnswerBytes,
             Consumer<TargetResult> listener) {
         this.vertx = vertx;
-        this.content = content;
+        this.protocol = protocol;
+        this.frame = frame;
+        this.content = frame.request();
         this.extraHeaders = extraHeaders;
         this.maxAnswerBytes = maxAnswerBytes;
         this.listener = listener;
@@ -102,6 +109,14 @@
     }
 
     private void receive(HttpClientResponse response) {
+        TargetProtocol.Reading reading =
+                protocol.read(frame, response.statusCode(), response.headers());
+        if (reading == TargetProtocol.Reading.FOREIGN) {
+            // The answer to this call may follow, but the connection can no longer be trusted.
+            end(TargetResult.broken());
+            request.reset();
+            return;
+        }
         response.exceptionHandler(failure -> end(TargetResult.broken()));
         response.handler(
                 chunk -> {
@@ -113,12 +128,18 @@
                 });
         response.endHandler(
                 ignored -> {
+                    Optional<TargetCondition> condition = protocol.conditionOf(response.headers());
+                    if (reading == TargetProtocol.Reading.NOT_RUN) {
+                        end(TargetResult.refused().withCondition(condition));
+                        return;
+                    }
                     boolean head = content.method().equals("HEAD");
                     List<HeaderField> headers = Headers.endToEnd(response.headers(), head);
                     byte[] body = answerBody.getBytes();
                     end(
                             TargetResult.answered(
-                                    TargetAnswer.of(response.statusCode(), headers, body)));
+                                            TargetAnswer.of(response.statusCode(), headers, body))
+                                    .withCondition(condition));
                 });
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -3,11 +3,12 @@
 import io.vertx.core.AsyncResult;
 import io.vertx.core.Vertx;
 import java.net.ConnectException;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 import org.dogwoodwood.core.admission.TargetCapacity;
 import org.dogwoodwood.core.measurement.MeasurementBudget;
 import org.dogwoodwood.core.model.TargetState;
-import org.dogwoodwood.node.guard.TargetClient.PollAnswer;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
 
@@ -32,10 +33,13 @@
 
     private static final int TICK_MILLIS = 100;
     private static final int FAILED_POLLS_UNTIL_DOWN = 3;
-    private static final int STATUS_OK = 200;
-    private static final int STATUS_NOT_FOUND = 404;
+
+    // Three announcements at their usual distance of 1.5 s.
+    private static final long SILENCE_NANOS = 4_500_000_000L;
 
     private final Vertx vertx;
+    private final TargetProtocol protocol;
+    private final UnaryOperator<String> healthPathOf;
     private final MeasurementBudget budget;
     private final EventLog log;
     private final Listener listener;
@@ -46,14 +50,23 @@
     private boolean draining;
     private int slots;
     private long incarnation = 1;
-    private Optional<Long> reportedIncarnation = Optional.empty();
-    private boolean hasLoadDocument = true;
+    private Optional<String> reportedIncarnation = Optional.empty();
+    private int pollPath;
     private boolean polling;
     private int failedPolls;
+    private long heardNanos = System.nanoTime();
     private long polls;
 
-    TargetMonitor(Vertx vertx, MeasurementBudget budget, EventLog log, Listener listener) {
+    TargetMonitor(
+            Vertx vertx,
+            TargetProtocol protocol,
+            UnaryOperator<String> healthPathOf,
+            MeasurementBudget budget,
+            EventLog log,
+            Listener listener) {
         this.vertx = vertx;
+        this.protocol = protocol;
+        this.healthPathOf = healthPathOf;
         this.budget = budget;
         this.log = log;
         this.listener = listener;
@@ -69,17 +82,33 @@
                 announcement != null
                         && announcement.address().equals(next.address())
                         && announcement.connections() == next.connections();
+        boolean restarted = isOtherProcess(next);
+        boolean changed = !next.equals(announcement);
         announcement = next;
         slots = next.slots();
         if (!sameAddress) {
             if (client != null) {
                 client.close();
             }
-            client = TargetClient.create(vertx, next.address(), next.connections());
+            client = TargetClient.create(vertx, protocol, next.address(), next.connections());
             reportedIncarnation = Optional.empty();
-            hasLoadDocument = true;
+            pollPath = 0;
             goDown();
+        } else if (restarted) {
+            onRestarted();
+        }
+        if (changed) {
+            logAnnouncement(next);
+        }
+        if (protocol.announcementShowsLife()) {
+            onAnnouncedAlive(next);
+        } else {
+            setConditions(next.cold(), next.draining());
+            tick();
         }
+    }
+
+    private void logAnnouncement(TargetAnnouncement next) {
         log.write(
                 LogEvent.TARGET_ANNOUNCED,
                 "service",
@@ -92,8 +121,33 @@
                 next.cold(),
                 "draining",
                 next.draining());
+    }
+
+    private void onAnnouncedAlive(TargetAnnouncement next) {
+        failedPolls = 0;
+        heardNanos = System.nanoTime();
+        if (state == TargetState.DOWN) {
+            cold = next.cold();
+            draining = next.draining();
+            goUp();
+        }
         setConditions(next.cold(), next.draining());
-        tick();
+    }
+
+    private boolean isOtherProcess(TargetAnnouncement next) {
+        return announcement != null
+                && (differ(next.instance(), announcement.instance())
+                        || differ(next.startedAtMillis(), announcement.startedAtMillis()));
+    }
+
+    private static <T> boolean differ(Optional<T> one, Optional<T> other) {
+        return one.isPresent() && other.isPresent() && !one.equals(other);
+    }
+
+    private void onRestarted() {
+        log.write(LogEvent.TARGET_CRASHED, "address", announcement.address());
+        goDown();
+        listener.onCrash();
     }
 
     /** Takes in how a call ended. */
@@ -135,24 +189,33 @@
     }
 
     private void tick() {
-        if (client == null || polling || !budget.tryPoll(System.nanoTime())) {
+        long nowNanos = System.nanoTime();
+        if (client == null || polling || !needsPoll(nowNanos) || !budget.tryPoll(nowNanos)) {
             return;
         }
         polling = true;
         polls++;
         TargetClient polled = client;
-        String path = hasLoadDocument ? "/load" : "/health";
+        List<String> paths = protocol.pollPaths(healthPathOf.apply(announcement.service()));
+        String path = paths.get(Math.min(pollPath, paths.size() - 1));
         polled.poll(path)
                 .onComplete(
                         result -> {
                             polling = false;
                             if (polled == client) {
-                                onPolled(result);
+                                onPolled(path, result);
                             }
                         });
     }
 
-    private void onPolled(AsyncResult<PollAnswer> result) {
+    /** A target whose announcements show that it runs is polled only when they stop. */
+    private boolean needsPoll(long nowNanos) {
+        return !protocol.announcementShowsLife()
+                || state == TargetState.DOWN
+                || nowNanos - heardNanos > SILENCE_NANOS;
+    }
+
+    private void onPolled(String path, AsyncResult<PollAnswer> result) {
         if (result.failed()) {
             if (isRefused(result.cause())) {
                 onUnreachable();
@@ -161,30 +224,25 @@
             }
             return;
         }
-        PollAnswer answer = result.result();
-        if (hasLoadDocument && answer.status() == STATUS_NOT_FOUND) {
-            hasLoadDocument = false;
-            tick();
-        } else if (answer.status() != STATUS_OK) {
-            onFailedPoll();
-        } else if (hasLoadDocument) {
-            onLoad(answer.body());
-        } else {
-            failedPolls = 0;
-            goUp();
+        PollReading reading = protocol.readPoll(path, result.result());
+        switch (reading.kind()) {
+            case UNKNOWN_PATH -> {
+                pollPath++;
+                tick();
+            }
+            case MALFORMED -> {
+                log.write(LogEvent.POLL_MALFORMED, "address", announcement.address());
+                onFailedPoll();
+            }
+            case FAILING -> onFailedPoll();
+            default -> onHealthy(reading);
         }
     }
 
-    private void onLoad(String body) {
-        Optional<TargetLoadDocument> document = TargetLoadDocument.parse(body);
-        if (document.isEmpty()) {
-            log.write(LogEvent.POLL_MALFORMED, "address", announcement.address());
-            onFailedPoll();
-            return;
-        }
+    private void onHealthy(PollReading load) {
         failedPolls = 0;
-        TargetLoadDocument load = document.get();
-        Optional<Long> reported = Optional.ofNullable(load.incarnation());
+        heardNanos = System.nanoTime();
+        Optional<String> reported = load.incarnation();
         boolean restarted =
                 state != TargetState.DOWN
                         && reportedIncarnation.isPresent()
@@ -192,16 +250,17 @@
                         && !reported.equals(reportedIncarnation);
         reportedIncarnation = reported;
         // A target may announce fewer slots while it sheds load, never more than it announced.
-        if (load.slots() != null && load.slots() > 0) {
-            slots = Math.min(announcement.slots(), load.slots());
+        if (load.slots().isPresent() && load.slots().get() > 0) {
+            slots = Math.min(announcement.slots(), load.slots().get());
         }
         if (restarted) {
-            log.write(LogEvent.TARGET_CRASHED, "address", announcement.address());
-            goDown();
-            listener.onCrash();
+            onRestarted();
+        }
+        if (reported.isPresent() && protocol.announcementShowsLife()) {
+            announcement = announcement.withInstance(reported.get());
         }
-        boolean nowCold = load.cold() == null ? announcement.cold() : load.cold();
-        boolean nowDraining = load.draining() == null ? announcement.draining() : load.draining();
+        boolean nowCold = load.cold().orElse(announcement.cold());
+        boolean nowDraining = load.draining().orElse(announcement.draining());
         cold = state == TargetState.DOWN ? nowCold : cold;
         draining = state == TargetState.DOWN ? nowDraining : draining;
         goUp();
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetResult.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetResult.java
@@ -1,5 +1,6 @@
 package org.dogwoodwood.node.guard;
 
+import java.util.Optional;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.model.TargetAnswer;
@@ -9,8 +10,9 @@
  *
  * @param finished what the ingress is told
  * @param kind what the guard learns of the target
+ * @param condition the load that the target told beside its answer, if it did
  */
-record TargetResult(FinishedCall finished, Kind kind) {
+record TargetResult(FinishedCall finished, Kind kind, Optional<TargetCondition> condition) {
 
     private static final int SERVER_ERROR = 500;
 
@@ -18,6 +20,8 @@
     enum Kind {
         /** The target answered. */
         ANSWERED,
+        /** The target refused the call and did not run it. */
+        REFUSED,
         /** No connection could be opened; nothing was sent. */
         CONNECT_FAILED,
         /** The connection broke after the request was sent. */
@@ -27,19 +31,31 @@
     }
 
     static TargetResult answered(TargetAnswer answer) {
-        return new TargetResult(FinishedCall.answered(answer), Kind.ANSWERED);
+        return of(FinishedCall.answered(answer), Kind.ANSWERED);
+    }
+
+    static TargetResult refused() {
+        return of(FinishedCall.notRun(ErrorCode.TARGET_REFUSED), Kind.REFUSED);
     }
 
     static TargetResult connectFailed() {
-        return new TargetResult(FinishedCall.notRun(ErrorCode.NO_TARGET), Kind.CONNECT_FAILED);
+        return of(FinishedCall.notRun(ErrorCode.NO_TARGET), Kind.CONNECT_FAILED);
     }
 
     static TargetResult broken() {
-        return new TargetResult(FinishedCall.unknown(ErrorCode.TARGET_FAILED), Kind.BROKEN);
+        return of(FinishedCall.unknown(ErrorCode.TARGET_FAILED), Kind.BROKEN);
     }
 
     static TargetResult aborted(FinishedCall finished) {
-        return new TargetResult(finished, Kind.ABORTED);
+        return of(finished, Kind.ABORTED);
+    }
+
+    TargetResult withCondition(Optional<TargetCondition> told) {
+        return new TargetResult(finished, kind, told);
+    }
+
+    private static TargetResult of(FinishedCall finished, Kind kind) {
+        return new TargetResult(finished, kind, Optional.empty());
     }
 
     /** Returns whether the end counts as a failure of the target. */
@@ -47,7 +63,7 @@
         return switch (kind) {
             case ANSWERED ->
                     finished.answer().map(answer -> answer.status() >= SERVER_ERROR).orElse(true);
-            case CONNECT_FAILED, BROKEN -> true;
+            case CONNECT_FAILED, BROKEN, REFUSED -> true;
             case ABORTED -> finished.error().orElse(null) == ErrorCode.DEADLINE_EXCEEDED;
         };
     }
--- a/node/src/main/java/org/dogwoodwood/node/http/AnswerWriter.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/AnswerWriter.java
@@ -44,6 +44,18 @@
      */
     public static Future<Void> writeError(
             HttpServerRequest request, ErrorCode code, String detail) {
+        return writeError(request, code, detail, RETRY_AFTER_SECONDS);
+    }
+
+    /**
+     * Writes an answer of the system itself; has no effect if the caller has disconnected.
+     *
+     * @param detail what happened, without the remedy
+     * @param retryAfterSeconds when the caller may come back, in seconds, for errors that tell it
+     * @return completes when the answer is written
+     */
+    public static Future<Void> writeError(
+            HttpServerRequest request, ErrorCode code, String detail, String retryAfterSeconds) {
         HttpServerResponse response = request.response();
         if (response.ended() || response.closed()) {
             return Future.succeededFuture();
@@ -52,7 +64,7 @@
         response.putHeader("Content-Type", "application/json");
         response.putHeader(Headers.OUTCOME, code.outcome().headerValue());
         if (code.hasRetryAfter()) {
-            response.putHeader("Retry-After", RETRY_AFTER_SECONDS);
+            response.putHeader("Retry-After", retryAfterSeconds);
         }
         return response.end(ErrorBody.of(code, detail).toJson());
     }
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/DefaultCallerProtocol.java
@@ -0,0 +1,170 @@
+package org.dogwoodwood.node.ingress;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dogwoodwood.core.DogwoodwoodException;
+import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.configuration.Configuration;
+import org.dogwoodwood.core.configuration.RouteDefinition;
+import org.dogwoodwood.core.configuration.ServiceDefinition;
+import org.dogwoodwood.core.model.HeaderField;
+import org.dogwoodwood.core.model.TargetAnswer;
+import org.dogwoodwood.core.routing.RouteResolver;
+import org.dogwoodwood.core.routing.RouteResolver.ResolvedRoute;
+import org.dogwoodwood.node.http.AnswerWriter;
+import org.dogwoodwood.node.http.Headers;
+import org.dogwoodwood.node.ingress.ServiceResolver.Resolved;
+
+/** The product's own interface for callers, as {@code docs/interfaces.md} describes it. */
+public final class DefaultCallerProtocol implements CallerProtocol {
+
+    private static final String DEFAULT_CLASS = "default";
+    private static final int MAX_KEY_CHARS = 256;
+
+    private final IngressLimits limits;
+    private final ServiceResolver services = new ServiceResolver();
+    private final RouteResolver routes = RouteResolver.create();
+
+    private DefaultCallerProtocol(IngressLimits limits) {
+        this.limits = limits;
+    }
+
+    /** Returns the protocol with the given bounds, not null. */
+    public static DefaultCallerProtocol create(IngressLimits limits) {
+        return new DefaultCallerProtocol(limits);
+    }
+
+    @Override
+    public CallTerms readHead(HttpServerRequest request, Configuration configuration) {
+        String host = request.authority() == null ? "" : request.authority().host();
+        Optional<ResolvedRoute> route = routes.resolve(configuration, host, request.uri());
+        if (route.isPresent()) {
+            return routedTerms(request, configuration, route.get());
+        }
+        Resolved resolved =
+                services.resolve(configuration, host, request.uri())
+                        .orElseThrow(
+                                () ->
+                                        new DogwoodwoodException(
+                                                ErrorCode.UNKNOWN_SERVICE,
+                                                "Neither path nor host names a configured"
+                                                        + " service."));
+        ServiceDefinition service = resolved.service();
+        long timeoutMillis = timeoutMillis(request, service.timeoutMillis());
+        return new CallTerms(
+                service,
+                callClass(request, service, configuration),
+                key(request),
+                depth(request),
+                timeoutMillis,
+                service.isIdempotent(request.method().name()),
+                Integer.MAX_VALUE,
+                resolved.path(),
+                forwardedHeaders(request),
+                "");
+    }
+
+    @Override
+    public void writeAnswer(HttpServerRequest request, TargetAnswer answer) {
+        AnswerWriter.writeAnswer(request, answer);
+    }
+
+    @Override
+    public Future<Void> writeError(HttpServerRequest request, ErrorCode code, String detail) {
+        return AnswerWriter.writeError(request, code, detail);
+    }
+
+    private CallTerms routedTerms(
+            HttpServerRequest request, Configuration configuration, ResolvedRoute resolved) {
+        RouteDefinition route = resolved.route();
+        long timeoutMillis = timeoutMillis(request, route.timeoutMillis());
+        return new CallTerms(
+                resolved.service(),
+                request.getHeader(Headers.CLASS) == null
+                        ? route.callClass()
+                        : callClass(request, resolved.service(), configuration),
+                key(request),
+                depth(request),
+                Math.min(timeoutMillis, route.timeoutMillis()),
+                route.execution().isRepeatable(),
+                route.maxAttempts(),
+                request.uri(),
+                forwardedHeaders(request),
+                "");
+    }
+
+    private static List<HeaderField> forwardedHeaders(HttpServerRequest request) {
+        List<HeaderField> headers = new ArrayList<>(Headers.endToEnd(request.headers(), false));
+        boolean hasHost = headers.stream().anyMatch(h -> h.name().equalsIgnoreCase("Host"));
+        if (!hasHost && request.version() == HttpVersion.HTTP_2 && request.authority() != null) {
+            headers.add(HeaderField.of("Host", request.authority().toString()));
+        }
+        return headers;
+    }
+
+    private long timeoutMillis(HttpServerRequest request, int defaultMillis) {
+        String text = request.getHeader(Headers.TIMEOUT_MS);
+        if (text == null) {
+            return defaultMillis;
+        }
+        long millis = RequestReader.parse(Headers.TIMEOUT_MS, text);
+        if (millis > limits.maxTimeoutMillis()) {
+            return limits.maxTimeoutMillis();
+        }
+        if (millis < 1) {
+            throw new DogwoodwoodException(
+                    ErrorCode.DEADLINE_TOO_SHORT, "No time is left for the request.");
+        }
+        return millis;
+    }
+
+    private static int depth(HttpServerRequest request) {
+        String text = request.getHeader(Headers.DEPTH);
+        if (text == null) {
+            return 0;
+        }
+        long depth = RequestReader.parse(Headers.DEPTH, text);
+        if (depth < 0) {
+            throw RequestReader.badRequest(Headers.DEPTH + " must not be negative.");
+        }
+        if (depth > IngressLimits.MAX_DEPTH) {
+            throw new DogwoodwoodException(
+                    ErrorCode.DEPTH_EXCEEDED,
+                    "The call has passed through " + depth + " services.");
+        }
+        return (int) depth;
+    }
+
+    private static String callClass(
+            HttpServerRequest request, ServiceDefinition service, Configuration configuration) {
+        String name = request.getHeader(Headers.CLASS);
+        if (name == null || name.equals(DEFAULT_CLASS)) {
+            return DEFAULT_CLASS;
+        }
+        boolean allowed =
+                service.callClasses().isEmpty()
+                        ? configuration.callClasses().containsKey(name)
+                        : service.callClasses().contains(name);
+        if (!allowed) {
+            throw RequestReader.badRequest(
+                    "The class in " + Headers.CLASS + " may not call this service.");
+        }
+        return name;
+    }
+
+    private static Optional<String> key(HttpServerRequest request) {
+        String key = request.getHeader(Headers.IDEMPOTENCY_KEY);
+        if (key == null) {
+            return Optional.empty();
+        }
+        if (key.isBlank() || key.length() > MAX_KEY_CHARS) {
+            throw RequestReader.badRequest(
+                    "An Idempotency-Key must have 1 to " + MAX_KEY_CHARS + " characters.");
+        }
+        return Optional.of(key);
+    }
+}
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -44,6 +44,8 @@
     private final Set<NodeId> unusable = new HashSet<>();
     private Optional<FinishedCall> mayHaveRun = Optional.empty();
     private int attemptsMade;
+    // Attempts that a target may have received, which the route's limit counts.
+    private int targetsReached;
     private long deadlineTimer = -1;
     private long hedgeTimer = -1;
     private boolean ended;
@@ -174,6 +176,9 @@
         if (finished.outcome() == Outcome.UNKNOWN) {
             mayHaveRun = Optional.of(finished);
         }
+        if (hasReachedTarget(finished)) {
+            targetsReached++;
+        }
         if (open.isEmpty()) {
             retryOrEnd(attempt, finished, nowNanos);
         }
@@ -181,13 +186,14 @@
 
     private void retryOrEnd(OpenAttempt attempt, FinishedCall finished, long nowNanos) {
         boolean retry =
-                state.retries()
-                        .shouldRetry(
-                                attemptsMade,
-                                finished.outcome(),
-                                finished.error().orElseThrow(),
-                                request.idempotent(),
-                                request.deadlineNanos() - nowNanos);
+                mayReachAnotherTarget()
+                        && state.retries()
+                                .shouldRetry(
+                                        attemptsMade,
+                                        finished.outcome(),
+                                        finished.error().orElseThrow(),
+                                        request.idempotent(),
+                                        request.deadlineNanos() - nowNanos);
         if (retry) {
             ingress.metrics().onRetry();
             if (finished.outcome() == Outcome.NOT_RUN) {
@@ -199,6 +205,15 @@
         }
     }
 
+    private boolean mayReachAnotherTarget() {
+        return targetsReached + open.size() < request.terms().maxAttempts();
+    }
+
+    private static boolean hasReachedTarget(FinishedCall finished) {
+        return finished.outcome() != Outcome.NOT_RUN
+                || finished.error().equals(Optional.of(ErrorCode.TARGET_REFUSED));
+    }
+
     private void scheduleHedge() {
         OptionalLong delayNanos = state.hedges().delayNanos();
         if (ended || !request.idempotent() || delayNanos.isEmpty()) {
@@ -213,7 +228,7 @@
     }
 
     private void hedge() {
-        if (ended || open.size() != 1) {
+        if (ended || open.size() != 1 || !mayReachAnotherTarget()) {
             return;
         }
         long nowNanos = System.nanoTime();
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressRequest.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressRequest.java
@@ -11,32 +11,39 @@
 /**
  * A caller's whole request.
  *
- * @param service the service that it is for
- * @param callClass the class or tenant of the caller
- * @param key the caller's {@code Idempotency-Key}, if it gave one
- * @param depth how many services the call has passed through
+ * @param terms what its head says
  * @param arrivedNanos when its head arrived, on the monotonic clock, in nanoseconds
  * @param deadlineNanos when the answer is due, in nanoseconds
  * @param content what the target receives
  */
 record IngressRequest(
-        ServiceDefinition service,
-        String callClass,
-        Optional<String> key,
-        int depth,
-        long arrivedNanos,
-        long deadlineNanos,
-        RequestContent content) {
+        CallTerms terms, long arrivedNanos, long deadlineNanos, RequestContent content) {
+
+    ServiceDefinition service() {
+        return terms.service();
+    }
+
+    String callClass() {
+        return terms.callClass();
+    }
+
+    Optional<String> key() {
+        return terms.key();
+    }
+
+    int depth() {
+        return terms.depth();
+    }
 
     boolean idempotent() {
-        return service.isIdempotent(content.method());
+        return terms.idempotent();
     }
 
     /** Returns the first 8 bytes of the SHA-256 of service, method, path and body. */
     long fingerprint() {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            update(digest, service.name());
+            update(digest, service().name());
             update(digest, content.method());
             update(digest, content.path());
             digest.update(content.body());
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -32,6 +32,7 @@
     private final Vertx vertx;
     private final Ingress ingress;
     private final IngressLimits limits;
+    private final CallerProtocol protocol;
     private final NodeMetrics metrics;
     private final EventLog log;
     private final RequestReader reader;
@@ -41,20 +42,32 @@
     private boolean leaving;
 
     private IngressServer(
-            Vertx vertx, Ingress ingress, IngressLimits limits, NodeMetrics metrics, EventLog log) {
+            Vertx vertx,
+            Ingress ingress,
+            IngressLimits limits,
+            CallerProtocol protocol,
+            NodeMetrics metrics,
+            EventLog log) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.ingress = Objects.requireNonNull(ingress, "ingress");
         this.limits = Objects.requireNonNull(limits, "limits");
+        this.protocol = Objects.requireNonNull(protocol, "protocol");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.log = Objects.requireNonNull(log, "log");
         this.reader =
-                new RequestReader(vertx, () -> ingress.routingTable().configuration(), limits, log);
+                new RequestReader(
+                        vertx, () -> ingress.routingTable().configuration(), limits, protocol, log);
     }
 
     /** Returns a server for the calls of the given ingress. */
     public static IngressServer create(
-            Vertx vertx, Ingress ingress, IngressLimits limits, NodeMetrics metrics, EventLog log) {
-        return new IngressServer(vertx, ingress, limits, metrics, log);
+            Vertx vertx,
+            Ingress ingress,
+            IngressLimits limits,
+            CallerProtocol protocol,
+            NodeMetrics metrics,
+            EventLog log) {
+        return new IngressServer(vertx, ingress, limits, protocol, metrics, log);
     }
 
     /**
@@ -131,7 +144,7 @@
     private void refuseFraming(HttpServerRequest request, String reason) {
         log.write(LogEvent.REQUEST_REFUSED, "caller", request.remoteAddress(), "reason", reason);
         request.response().putHeader("Connection", "close");
-        AnswerWriter.writeError(request, ErrorCode.BAD_REQUEST, "The request breaks HTTP.")
+        protocol.writeError(request, ErrorCode.BAD_REQUEST, "The request breaks HTTP.")
                 .onComplete(ignored -> request.connection().close());
     }
 
@@ -196,7 +209,7 @@
                 // The rest of the body would be taken for the next request.
                 request.response().putHeader("Connection", "close");
             }
-            Future<Void> written = AnswerWriter.writeError(request, code, detail);
+            Future<Void> written = protocol.writeError(request, code, detail);
             if (unread) {
                 written.onComplete(ignored -> closeUnread(firstVersion));
             }
@@ -219,14 +232,14 @@
             if (finished.answer().isPresent()) {
                 TargetAnswer answer = finished.answer().get();
                 status = answer.status();
-                AnswerWriter.writeAnswer(request, answer);
+                protocol.writeAnswer(request, answer);
             } else {
                 ErrorCode code = finished.error().orElseThrow();
                 // What one busy guard says is of no use to a caller; all of them are busy.
                 code = code == ErrorCode.GUARD_BUSY ? ErrorCode.OVERLOADED : code;
                 status = code.httpStatus();
                 metrics.onIngressError(code);
-                AnswerWriter.writeError(request, code, "The call ended without an answer.");
+                protocol.writeError(request, code, "The call ended without an answer.");
             }
             metrics.onAnswered(
                     read.service().name(),
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -27,6 +27,8 @@
     TARGET_DRAINING(305, Severity.INFO, "The target asked for no new work."),
     TARGET_CRASHED(306, Severity.WARNING, "The target broke calls in flight; they are suspect."),
     POLL_MALFORMED(307, Severity.WARNING, "The target's load report cannot be read."),
+    ANNOUNCEMENT_IGNORED(
+            308, Severity.WARNING, "An announcement is outdated or of another service."),
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
--- a/node/src/test/java/org/dogwoodwood/node/control/ControlCluster.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/ControlCluster.java
@@ -161,8 +161,14 @@
                                 ConfigurationJsonCodec.encode(configuration)));
         HttpPlatformLog tool = HttpPlatformLog.create(vertx, "127.0.0.1", log.port());
         await(
-                tool.append("configuration", publicationId, data)
-                        .recover(lost -> tool.append("configuration", publicationId, data)));
+                tool.append("configuration", "configuration", publicationId, data)
+                        .recover(
+                                lost ->
+                                        tool.append(
+                                                "configuration",
+                                                "configuration",
+                                                publicationId,
+                                                data)));
     }
 
     JsonObject order(int number, String dataCentre, String state) {
