--- a/codec/src/test/java/org/dogwoodwood/codec/configuration/ConfigurationReaderTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/configuration/ConfigurationReaderTests.java
@@ -13,7 +13,10 @@
 import org.dogwoodwood.core.configuration.CheckResult;
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.configuration.ConfigurationProblem;
+import org.dogwoodwood.core.configuration.Execution;
+import org.dogwoodwood.core.configuration.RouteDefinition;
 import org.dogwoodwood.core.configuration.ServiceDefinition;
+import org.dogwoodwood.core.configuration.ServiceShare;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -56,6 +59,56 @@
         assertThat(again).isEqualTo(configuration);
     }
 
+    /** Guards against routes that are lost or changed on the way to a file and back. */
+    @Test
+    void routesReadBackEqual() throws IOException {
+        String route =
+                """
+                [route.booking]
+                host = "booking.example"
+                path_prefix = "/outings/"
+                shares = ["outings=90"]
+                execution = "at-most-once"
+                timeout_millis = 900
+                max_attempts = 2
+                """;
+        Configuration configuration = read(VALID + route).configuration().orElseThrow();
+
+        RouteDefinition read = configuration.routes().get("booking");
+        assertThat(read.shares()).containsExactly(new ServiceShare("outings", 90));
+        assertThat(read.execution()).isEqualTo(Execution.AT_MOST_ONCE);
+        assertThat(read(ConfigurationWriter.write(configuration)).configuration())
+                .contains(configuration);
+    }
+
+    /** Guards against a route that silently sends calls nowhere or runs them twice. */
+    @Test
+    void reportsProblemsOfRoutes() throws IOException {
+        String routes =
+                """
+                [route.first]
+                host = "a.example"
+                path_prefix = "/outings"
+                shares = ["outings=x"]
+                execution = "sometimes"
+
+                [route.second]
+                host = "b.example"
+                shares = ["outings=0"]
+                execution = "idempotent"
+
+                [route.third]
+                host = "B.example"
+                shares = ["outings"]
+                execution = "idempotent"
+                """;
+
+        assertThat(read(VALID + routes).problems())
+                .extracting(problem -> problem.location().key())
+                .containsExactlyInAnyOrder(
+                        "shares", "execution", "path_prefix", "shares", "path_prefix");
+    }
+
     @Test
     void reportsTheProblemsOfAllFilesAtOnce() throws IOException {
         write("b.toml", "[data-centre.coast]\nregion = 3\n");
--- a/node/src/main/java/org/dogwoodwood/node/ingress/CallerProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/CallerProtocol.java
@@ -13,11 +13,11 @@
     /**
      * Reads the head of a request.
      *
-     * @param request the request, whose body has not been read, not null
+     * @param head the head, not null
      * @param configuration the configuration in force, not null
      * @throws DogwoodwoodException if the request breaks a rule or names no service
      */
-    CallTerms readHead(HttpServerRequest request, Configuration configuration);
+    CallTerms readHead(RequestHead head, Configuration configuration);
 
     /** Writes the whole answer of a target; has no effect if the caller has disconnected. */
     void writeAnswer(HttpServerRequest request, TargetAnswer answer);
--- a/node/src/main/java/org/dogwoodwood/node/ingress/DefaultCallerProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/DefaultCallerProtocol.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -39,14 +38,14 @@
     }
 
     @Override
-    public CallTerms readHead(HttpServerRequest request, Configuration configuration) {
-        String host = request.authority() == null ? "" : request.authority().host();
-        Optional<ResolvedRoute> route = routes.resolve(configuration, host, request.uri());
+    public CallTerms readHead(RequestHead request, Configuration configuration) {
+        Optional<ResolvedRoute> route =
+                routes.resolve(configuration, request.host(), request.uri());
         if (route.isPresent()) {
             return routedTerms(request, configuration, route.get());
         }
         Resolved resolved =
-                services.resolve(configuration, host, request.uri())
+                services.resolve(configuration, request.host(), request.uri())
                         .orElseThrow(
                                 () ->
                                         new DogwoodwoodException(
@@ -61,7 +60,7 @@
                 key(request),
                 depth(request),
                 timeoutMillis,
-                service.isIdempotent(request.method().name()),
+                service.isIdempotent(request.method()),
                 Integer.MAX_VALUE,
                 resolved.path(),
                 forwardedHeaders(request),
@@ -79,12 +78,12 @@
     }
 
     private CallTerms routedTerms(
-            HttpServerRequest request, Configuration configuration, ResolvedRoute resolved) {
+            RequestHead request, Configuration configuration, ResolvedRoute resolved) {
         RouteDefinition route = resolved.route();
         long timeoutMillis = timeoutMillis(request, route.timeoutMillis());
         return new CallTerms(
                 resolved.service(),
-                request.getHeader(Headers.CLASS) == null
+                request.header(Headers.CLASS) == null
                         ? route.callClass()
                         : callClass(request, resolved.service(), configuration),
                 key(request),
@@ -97,17 +96,17 @@
                 "");
     }
 
-    private static List<HeaderField> forwardedHeaders(HttpServerRequest request) {
+    private static List<HeaderField> forwardedHeaders(RequestHead request) {
         List<HeaderField> headers = new ArrayList<>(Headers.endToEnd(request.headers(), false));
         boolean hasHost = headers.stream().anyMatch(h -> h.name().equalsIgnoreCase("Host"));
-        if (!hasHost && request.version() == HttpVersion.HTTP_2 && request.authority() != null) {
-            headers.add(HeaderField.of("Host", request.authority().toString()));
+        if (!hasHost && !request.authority().isEmpty()) {
+            headers.add(HeaderField.of("Host", request.authority()));
         }
         return headers;
     }
 
-    private long timeoutMillis(HttpServerRequest request, int defaultMillis) {
-        String text = request.getHeader(Headers.TIMEOUT_MS);
+    private long timeoutMillis(RequestHead request, int defaultMillis) {
+        String text = request.header(Headers.TIMEOUT_MS);
         if (text == null) {
             return defaultMillis;
         }
@@ -122,8 +121,8 @@
         return millis;
     }
 
-    private static int depth(HttpServerRequest request) {
-        String text = request.getHeader(Headers.DEPTH);
+    private static int depth(RequestHead request) {
+        String text = request.header(Headers.DEPTH);
         if (text == null) {
             return 0;
         }
@@ -140,8 +139,8 @@
     }
 
     private static String callClass(
-            HttpServerRequest request, ServiceDefinition service, Configuration configuration) {
-        String name = request.getHeader(Headers.CLASS);
+            RequestHead request, ServiceDefinition service, Configuration configuration) {
+        String name = request.header(Headers.CLASS);
         if (name == null || name.equals(DEFAULT_CLASS)) {
             return DEFAULT_CLASS;
         }
@@ -156,8 +155,8 @@
         return name;
     }
 
-    private static Optional<String> key(HttpServerRequest request) {
-        String key = request.getHeader(Headers.IDEMPOTENCY_KEY);
+    private static Optional<String> key(RequestHead request) {
+        String key = request.header(Headers.IDEMPOTENCY_KEY);
         if (key == null) {
             return Optional.empty();
         }
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/EarlyCall.java
@@ -0,0 +1,48 @@
+package org.dogwoodwood.node.ingress;
+
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.dogwoodwood.core.calls.FinishedCall;
+
+/** A call that runs while the answers to earlier requests of its connection are still due. */
+final class EarlyCall {
+
+    private final IngressRequest request;
+    private IngressCall call;
+    private FinishedCall finished;
+    private Consumer<FinishedCall> listener;
+
+    private EarlyCall(IngressRequest request) {
+        this.request = Objects.requireNonNull(request, "request");
+    }
+
+    /** Starts the call of a request. */
+    static EarlyCall start(Ingress ingress, IngressRequest request) {
+        EarlyCall early = new EarlyCall(request);
+        early.call = ingress.call(request, early::onFinished);
+        return early;
+    }
+
+    IngressRequest request() {
+        return request;
+    }
+
+    IngressCall call() {
+        return call;
+    }
+
+    /** Sets who is told how the call ends; at once if it has ended. */
+    void onEnd(Consumer<FinishedCall> newListener) {
+        listener = newListener;
+        if (finished != null) {
+            listener.accept(finished);
+        }
+    }
+
+    private void onFinished(FinishedCall result) {
+        finished = result;
+        if (listener != null) {
+            listener.accept(result);
+        }
+    }
+}
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -3,13 +3,16 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpVersion;
 import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
@@ -38,6 +41,8 @@
     private final RequestReader reader;
     private final Promise<Void> idle = Promise.promise();
     private final List<HttpServer> servers = new ArrayList<>();
+    private final IdentityHashMap<HttpConnection, PipelinedCalls> pipelines =
+            new IdentityHashMap<>();
     private int pending;
     private boolean leaving;
 
@@ -80,7 +85,16 @@
         HttpServerOptions options = options().setHttp2ClearTextEnabled(false);
         HttpServer server = vertx.createHttpServer(options);
         server.connectionHandler(
-                connection -> StrictFraming.install(connection, options, limits, log));
+                connection -> {
+                    PipelinedCalls calls = new PipelinedCalls(this::startEarly);
+                    pipelines.put(connection, calls);
+                    StrictFraming.install(connection, options, limits, calls::onHead, log);
+                    connection.closeHandler(
+                            ignored -> {
+                                pipelines.remove(connection);
+                                calls.onClosed();
+                            });
+                });
         server.requestHandler(this::onRequest);
         return listen(server, endpoint);
     }
@@ -129,13 +143,32 @@
 
     private void onRequest(HttpServerRequest request) {
         pending++;
-        Pending state = new Pending(request);
+        PipelinedCalls calls = pipelineOf(request);
+        Optional<EarlyCall> early = calls.onDispatched();
+        Pending state = new Pending(request, calls);
         request.response().closeHandler(ignored -> state.onClosed());
         request.response().endHandler(ignored -> state.onClosed());
-        reader.read(request).onSuccess(state::onRead).onFailure(state::onRefused);
+        if (early.isPresent()) {
+            state.onStarted(early.get());
+        } else {
+            reader.read(request).onSuccess(state::onRead).onFailure(state::onRefused);
+        }
+    }
+
+    // The callers of HTTP/2 have a stream for each request, so nothing waits there.
+    private PipelinedCalls pipelineOf(HttpServerRequest request) {
+        PipelinedCalls known = pipelines.get(request.connection());
+        return known == null ? new PipelinedCalls(head -> Optional.empty()) : known;
+    }
+
+    private Optional<EarlyCall> startEarly(RequestHead head) {
+        return leaving
+                ? Optional.empty()
+                : reader.readEarly(head).map(request -> EarlyCall.start(ingress, request));
     }
 
     private void onInvalidRequest(HttpServerRequest request) {
+        pipelineOf(request).onDispatched();
         Throwable cause = request.decoderResult().cause();
         refuseFraming(request, cause == null ? "malformed" : String.valueOf(cause.getMessage()));
     }
@@ -176,13 +209,21 @@
     private final class Pending {
 
         private final HttpServerRequest request;
-        private final long arrivedNanos = System.nanoTime();
+        private final PipelinedCalls calls;
+        private long arrivedNanos = System.nanoTime();
         private IngressCall call;
         private boolean answered;
         private boolean closed;
 
-        Pending(HttpServerRequest request) {
+        Pending(HttpServerRequest request, PipelinedCalls calls) {
             this.request = request;
+            this.calls = calls;
+        }
+
+        void onStarted(EarlyCall early) {
+            arrivedNanos = early.request().arrivedNanos();
+            call = early.call();
+            early.onEnd(finished -> onFinished(early.request(), finished));
         }
 
         void onRead(IngressRequest read) {
@@ -225,7 +266,7 @@
 
         private void onFinished(IngressRequest read, FinishedCall finished) {
             answered = true;
-            if (leaving && request.version() != HttpVersion.HTTP_2) {
+            if (leaving && !calls.hasWaiting() && request.version() != HttpVersion.HTTP_2) {
                 request.response().putHeader("Connection", "close");
             }
             int status;
@@ -254,6 +295,7 @@
             }
             closed = true;
             pending--;
+            calls.onAnswered();
             if (!answered && call != null) {
                 metrics.onCancelled();
                 call.cancel();
--- a/node/src/main/java/org/dogwoodwood/node/ingress/RequestReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/RequestReader.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.dogwoodwood.codec.wire.RequestContent;
 import org.dogwoodwood.core.DogwoodwoodException;
@@ -17,6 +18,7 @@
 /** Checks the head of a request and reads its body within bounds of size and time. */
 final class RequestReader {
 
+    private static final byte[] NO_BODY = {};
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final Vertx vertx;
@@ -47,8 +49,9 @@
     Future<IngressRequest> read(HttpServerRequest request) {
         long nowNanos = System.nanoTime();
         try {
-            checkFraming(request);
-            CallTerms terms = protocol.readHead(request, configuration.get());
+            RequestHead head = RequestHead.of(request);
+            checkFraming(head);
+            CallTerms terms = protocol.readHead(head, configuration.get());
             return readBody(request, terms.service().maxRequestBytes())
                     .map(
                             body ->
@@ -66,7 +69,34 @@
         }
     }
 
-    private static void checkFraming(HttpServerRequest request) {
+    /**
+     * Reads a request without a body whose head has arrived and that may run more than once.
+     *
+     * @return the request, or empty if it is not idempotent or breaks a rule; it is then read again
+     *     when it is dispatched
+     */
+    Optional<IngressRequest> readEarly(RequestHead head) {
+        long nowNanos = System.nanoTime();
+        try {
+            checkFraming(head);
+            CallTerms terms = protocol.readHead(head, configuration.get());
+            if (!terms.idempotent()) {
+                return Optional.empty();
+            }
+            return Optional.of(
+                    new IngressRequest(
+                            terms,
+                            nowNanos,
+                            nowNanos + terms.timeoutMillis() * NANOS_PER_MILLI,
+                            RequestContent.of(
+                                    head.method(), terms.path(), terms.headers(), NO_BODY)));
+        } catch (DogwoodwoodException e) {
+            // The refusal is logged and answered when the request is dispatched.
+            return Optional.empty();
+        }
+    }
+
+    private static void checkFraming(RequestHead request) {
         // Netty takes "chunked, identity" for chunked and "xchunked" for no body at all.
         List<String> encodings = request.headers().getAll("Transfer-Encoding");
         boolean chunkedOnly =
--- a/node/src/main/java/org/dogwoodwood/node/ingress/StrictFraming.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/StrictFraming.java
@@ -3,9 +3,11 @@
 import static org.dogwoodwood.core.Preconditions.checkState;
 
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpRequest;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.impl.ConnectionBase;
+import java.util.function.Consumer;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
 
@@ -29,6 +31,7 @@
             HttpConnection connection,
             HttpServerOptions options,
             IngressLimits limits,
+            Consumer<HttpRequest> headListener,
             EventLog log) {
         checkState(
                 connection instanceof ConnectionBase,
@@ -36,7 +39,10 @@
         ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
         StrictRequestDecoder decoder =
                 new StrictRequestDecoder(
-                        options, limits.slowSenderMillis(), () -> onSlowHead(connection, log));
+                        options,
+                        limits.slowSenderMillis(),
+                        headListener,
+                        () -> onSlowHead(connection, log));
         pipeline.replace(DECODER, DECODER, decoder);
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/ingress/StrictRequestDecoder.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/StrictRequestDecoder.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Refuses a request with both {@code Content-Length} and {@code Transfer-Encoding}, and closes a
@@ -18,13 +19,19 @@
 final class StrictRequestDecoder extends VertxHttpRequestDecoder {
 
     private final int slowSenderMillis;
+    private final Consumer<HttpRequest> headListener;
     private final Runnable onSlowHead;
     private boolean expectsHead = true;
     private Future<?> headTimer;
 
-    StrictRequestDecoder(HttpServerOptions options, int slowSenderMillis, Runnable onSlowHead) {
+    StrictRequestDecoder(
+            HttpServerOptions options,
+            int slowSenderMillis,
+            Consumer<HttpRequest> headListener,
+            Runnable onSlowHead) {
         super(options);
         this.slowSenderMillis = slowSenderMillis;
+        this.headListener = headListener;
         this.onSlowHead = onSlowHead;
     }
 
@@ -39,7 +46,8 @@
         int before = out.size();
         super.decode(context, buffer, out);
         for (Object message : out.subList(before, out.size())) {
-            if (message instanceof HttpRequest) {
+            if (message instanceof HttpRequest head) {
+                headListener.accept(head);
                 expectsHead = false;
                 cancelHeadTimer();
             }
--- a/node/src/test/java/org/dogwoodwood/node/ingress/CallerTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/ingress/CallerTests.java
@@ -52,6 +52,39 @@
                 .contains("dogwoodwood_cancelled_calls_total 1");
     }
 
+    /** Guards against a slow answer delaying the work of the requests sent behind it. */
+    @Test
+    void runsPipelinedRequestsBesideEachOtherAndAnswersInOrder() throws IOException {
+        int requests = 4;
+        long startNanos = System.nanoTime();
+        try (RawCaller caller = new RawCaller(ingress.node().callerPort())) {
+            for (int i = 0; i < requests - 1; i++) {
+                caller.send("GET /services/shop/slow?" + i + " HTTP/1.1\r\nHost: a\r\n\r\n");
+            }
+            caller.send("GET /services/shop/echo HTTP/1.1\r\nHost: a\r\n");
+            caller.send("Connection: close\r\n\r\n");
+            String answers = caller.readAll();
+
+            assertThat(answers.split("HTTP/1.1 200 OK", -1)).hasSize(requests + 1);
+            assertThat(answers).endsWith("<closed>");
+            assertThat(answers.indexOf("X-Echo")).isGreaterThan(answers.lastIndexOf("slow"));
+        }
+        // One after another, the slow ones take 900 ms.
+        assertThat(System.nanoTime() - startNanos).isLessThan(700_000_000L);
+        assertThat(target.started()).isEqualTo(requests);
+    }
+
+    /** Guards against work for requests whose caller left before they were dispatched. */
+    @Test
+    void cancelsPipelinedRequestsOfACallerThatDisconnects() throws IOException {
+        try (RawCaller caller = new RawCaller(ingress.node().callerPort())) {
+            caller.send("GET /services/shop/never?1 HTTP/1.1\r\nHost: a\r\n\r\n");
+            caller.send("GET /services/shop/never?2 HTTP/1.1\r\nHost: a\r\n\r\n");
+            Waiting.until("both calls run", () -> target.started() == 2);
+        }
+        Waiting.until("both are aborted", () -> target.aborted() == 2);
+    }
+
     @Test
     void findsTheServiceByHost() throws IOException {
         for (String host : new String[] {"shop", "shop.internal:80", "SHOP.example"}) {
