Place calls by the speed that targets tell, and prefer the own data centre

Cause: targets are 7 times slower in phases of 0.5 to 2 s, told in the fourth figure of their load; calls went to slow targets as often as to others. Guards now report the speed, poll it when no answer told it for 100 ms, and tell peers at once when it changes; idempotent calls caught by a slow phase are hedged.

--- a/codec/src/main/java/org/dogwoodwood/codec/wire/BoundedReader.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/BoundedReader.java
@@ -111,7 +111,7 @@
         if (unpacker.tryUnpackNil()) {
             return Optional.empty();
         }
-        checkElements(10);
+        checkElements(11);
         return Optional.of(
                 new LoadReport(
                         readNodeId(),
@@ -123,7 +123,8 @@
                         readInt(),
                         readLong(),
                         unpacker.unpackDouble(),
-                        readOneOf(WireNumbers.STATES)));
+                        readOneOf(WireNumbers.STATES),
+                        unpacker.unpackDouble()));
     }
 
     void checkEnd() {
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
@@ -119,13 +119,14 @@
             return;
         }
         LoadReport report = optional.get();
-        packer.packArrayHeader(10);
+        packer.packArrayHeader(11);
         packText(packer, report.guard().value());
         packer.packLong(report.incarnation()).packLong(report.sequence());
         packer.packInt(report.inFlight()).packInt(report.queued());
         packer.packInt(report.limit()).packInt(report.slots());
         packer.packLong(report.serviceTimeMicros()).packDouble(report.errorRatio());
         packer.packInt(WireNumbers.STATES.indexOf(report.state()));
+        packer.packDouble(report.slowdown());
     }
 
     private static void packHeaders(MessageBufferPacker packer, List<HeaderField> headers)
--- a/core/src/main/java/org/dogwoodwood/core/admission/AdaptiveLimit.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/AdaptiveLimit.java
@@ -21,7 +21,16 @@
      * @param estimate the estimate of its service time, not null
      */
     static int limit(int slots, ServiceTimeEstimate estimate) {
-        double slowdown = estimate.recentNanos() / estimate.baselineNanos();
+        return limit(slots, estimate.recentNanos() / estimate.baselineNanos());
+    }
+
+    /**
+     * Returns the calls that may be in flight.
+     *
+     * @param slots the calls that the target can work on at its usual speed
+     * @param slowdown how long work takes now, as a multiple of the usual time
+     */
+    static int limit(int slots, double slowdown) {
         if (slowdown <= TOLERATED_SLOWDOWN) {
             return slots;
         }
--- a/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
@@ -77,6 +77,24 @@
      */
     void onCapacity(TargetCapacity capacity, long nowNanos);
 
+    /**
+     * Takes in how long work takes at the target now.
+     *
+     * @param slowdown the time as a multiple of the usual time, above 0
+     * @param nowNanos the present time in nanoseconds
+     */
+    default void onSlowdown(double slowdown, long nowNanos) {}
+
+    /**
+     * Returns how long work takes at the target now, as a multiple of the usual time; 0 if the
+     * target has not told it shortly before.
+     *
+     * @param nowNanos the present time in nanoseconds
+     */
+    default double slowdown(long nowNanos) {
+        return 0;
+    }
+
     /** Returns the number of calls that the target is working on. */
     int inFlight();
 
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -34,6 +34,7 @@
     private final DeadlineQueue queue;
     private final ServiceTimeEstimate estimate;
     private final ColdStartRamp ramp;
+    private final ToldSpeed speed = new ToldSpeed();
     private final Map<AttemptKey, String> classInFlight = new HashMap<>();
     private final Map<String, Integer> inFlightByClass = new HashMap<>();
     private final List<CallDescription> expired = new ArrayList<>();
@@ -79,7 +80,7 @@
         if (exceedsClassShare(call.callClass())) {
             return AdmissionDecision.refuse(ErrorCode.CLASS_LIMIT);
         }
-        int startLimit = call.mayQueue() ? limit() : preferredLimit();
+        int startLimit = call.mayQueue() ? limit() : preferredLimit(nowNanos);
         if (queue.size() == 0 && inFlight() < startLimit) {
             start(call);
             return AdmissionDecision.start();
@@ -177,7 +178,19 @@
     @Override
     public long serviceTimeNanos(long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        return (long) estimate.significantNanos();
+        return speed.slowdown(nowNanos) > 0
+                ? (long) (estimate.baselineNanos() / speed.mean())
+                : (long) estimate.significantNanos();
+    }
+
+    @Override
+    public void onSlowdown(double slowdown, long nowNanos) {
+        speed.onSlowdown(slowdown, nowNanos);
+    }
+
+    @Override
+    public double slowdown(long nowNanos) {
+        return speed.slowdown(nowNanos);
     }
 
     @Override
@@ -186,8 +199,11 @@
     }
 
     /** Returns the calls in flight up to which calls that could run elsewhere are started. */
-    private int preferredLimit() {
-        return AdaptiveLimit.limit(limit(), estimate);
+    private int preferredLimit(long nowNanos) {
+        double told = speed.slowdown(nowNanos);
+        return told > 0
+                ? AdaptiveLimit.limit(limit(), told)
+                : AdaptiveLimit.limit(limit(), estimate);
     }
 
     /**
--- a/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
@@ -73,4 +73,9 @@
     default boolean isSlow(NodeId node, long nowNanos) {
         return true;
     }
+
+    /** Returns whether a target tells its speed with its reports. */
+    default boolean tellsSpeed(NodeId node) {
+        return false;
+    }
 }
--- a/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
@@ -110,6 +110,11 @@
         return table.of(node).slowdown(nowNanos) >= SLOW_RATIO;
     }
 
+    @Override
+    public boolean tellsSpeed(NodeId node) {
+        return table.of(node).tellsSpeed();
+    }
+
     /** Returns the expected time to the answer, or infinity if the target takes no work. */
     private double costNanos(Candidate candidate, long nowNanos) {
         TargetLoad load = table.of(candidate.node());
--- a/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
@@ -15,6 +15,9 @@
      */
     private static final double FORGET_NANOS = 5e9;
 
+    /** How fast the speed that a target told is forgotten; slow phases last about as long. */
+    private static final double SPEED_AGEING_NANOS = 600e6;
+
     private static final double TYPICAL_WEIGHT = 0.02;
     private static final double NANOS_PER_MICRO = 1_000.0;
 
@@ -25,6 +28,7 @@
     private double typicalLoad;
     private double typicalServiceNanos;
     private double ownFailureRatio;
+    private double typicalSlowdown = 1;
 
     boolean onReport(LoadReport newReport, long nowNanos) {
         if (report != null && !newReport.isNewerThan(report)) {
@@ -39,6 +43,9 @@
         double weight = first ? 1.0 : TYPICAL_WEIGHT;
         typicalLoad += weight * (load - typicalLoad);
         typicalServiceNanos += weight * (serviceNanos - typicalServiceNanos);
+        if (newReport.tellsSpeed()) {
+            typicalSlowdown += TYPICAL_WEIGHT * (newReport.slowdown() - typicalSlowdown);
+        }
         return true;
     }
 
@@ -63,6 +70,10 @@
         return report == null || report.incarnation() < incarnation || report.state().acceptsWork();
     }
 
+    boolean tellsSpeed() {
+        return report != null && report.tellsSpeed();
+    }
+
     int ownInFlight() {
         return ownInFlight;
     }
@@ -91,6 +102,9 @@
     }
 
     double slowdown(long nowNanos) {
+        if (report != null && report.tellsSpeed()) {
+            return toldSlowdown(nowNanos);
+        }
         return report == null ? 1 : recentServiceNanos(nowNanos) / Math.max(1, typicalServiceNanos);
     }
 
@@ -98,7 +112,15 @@
         return memory(nowNanos) * Math.max(report.errorRatio(), ownFailureRatio);
     }
 
+    private double toldSlowdown(long nowNanos) {
+        double weight = Math.exp(-Math.max(0, nowNanos - reportNanos) / SPEED_AGEING_NANOS);
+        return weight * report.slowdown() + (1 - weight) * typicalSlowdown;
+    }
+
     private double recentServiceNanos(long nowNanos) {
+        if (report.tellsSpeed()) {
+            return typicalServiceNanos * toldSlowdown(nowNanos);
+        }
         double weight = reportWeight(nowNanos);
         return weight * report.serviceTimeMicros() * NANOS_PER_MICRO
                 + (1 - weight) * typicalServiceNanos;
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
@@ -125,6 +125,12 @@
             PolicyDefinition.DEFAULT_COLD_CALLS_PER_SECOND,
             ValueRange.closed(0, 1_000_000),
             policy(PolicyDefinition::coldCallsPerSecond)),
+    POLICY_DATA_CENTRE_COST_MILLIS(
+            "data_centre_cost_millis",
+            "milliseconds",
+            PolicyDefinition.DEFAULT_DATA_CENTRE_COST_MILLIS,
+            ValueRange.closed(0, 60_000),
+            policy(PolicyDefinition::dataCentreCostMillis)),
     POLICY_COLD_START_MILLIS(
             "cold_start_millis",
             "milliseconds",
--- a/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
@@ -13,6 +13,8 @@
  * @param crashLimit targets that one request may crash before it is refused
  * @param crashHoldSeconds how long such a request is refused, in seconds
  * @param coldCallsPerSecond calls that a cold target gets per second; 0 for no limit
+ * @param dataCentreCostMillis how much longer a call may take in its own data centre before a
+ *     target in another one is preferred, in milliseconds
  * @param coldStartMillis how long a target is cold after its data centre came back, in milliseconds
  */
 public record PolicyDefinition(
@@ -25,6 +27,7 @@
         int crashLimit,
         int crashHoldSeconds,
         double coldCallsPerSecond,
+        int dataCentreCostMillis,
         int coldStartMillis)
         implements ConfigurationObject {
 
@@ -36,6 +39,7 @@
     public static final int DEFAULT_CRASH_LIMIT = 2;
     public static final int DEFAULT_CRASH_HOLD_SECONDS = 600;
     public static final double DEFAULT_COLD_CALLS_PER_SECOND = 0;
+    public static final int DEFAULT_DATA_CENTRE_COST_MILLIS = 0;
     public static final int DEFAULT_COLD_START_MILLIS = 0;
 
     /** Returns a policy with the given name and all defaults. */
@@ -50,6 +54,7 @@
                 DEFAULT_CRASH_LIMIT,
                 DEFAULT_CRASH_HOLD_SECONDS,
                 DEFAULT_COLD_CALLS_PER_SECOND,
+                DEFAULT_DATA_CENTRE_COST_MILLIS,
                 DEFAULT_COLD_START_MILLIS);
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/model/LoadReport.java
+++ b/core/src/main/java/org/dogwoodwood/core/model/LoadReport.java
@@ -12,9 +12,12 @@
  * @param queued calls that wait at the guard
  * @param limit the calls that the guard admits at a time now
  * @param slots the calls that the target can work on at a time when it is warm
- * @param serviceTimeMicros recent mean service time at the target, in microseconds
+ * @param serviceTimeMicros recent mean service time at the target, in microseconds; at its usual
+ *     speed if {@code slowdown} is told
  * @param errorRatio recent share of calls that failed, from 0 to 1
  * @param state the state of the target
+ * @param slowdown how long work takes at the target now, as a multiple of the usual time; 0 if the
+ *     target does not tell it
  */
 public record LoadReport(
         NodeId guard,
@@ -26,7 +29,8 @@
         int slots,
         long serviceTimeMicros,
         double errorRatio,
-        TargetState state) {
+        TargetState state,
+        double slowdown) {
 
     /** Checks that the references are present. */
     public LoadReport {
@@ -34,6 +38,37 @@
         Objects.requireNonNull(state, "state");
     }
 
+    /** Creates a report of a target that does not tell its speed. */
+    public LoadReport(
+            NodeId guard,
+            long incarnation,
+            long sequence,
+            int inFlight,
+            int queued,
+            int limit,
+            int slots,
+            long serviceTimeMicros,
+            double errorRatio,
+            TargetState state) {
+        this(
+                guard,
+                incarnation,
+                sequence,
+                inFlight,
+                queued,
+                limit,
+                slots,
+                serviceTimeMicros,
+                errorRatio,
+                state,
+                0);
+    }
+
+    /** Returns whether the target tells its speed. */
+    public boolean tellsSpeed() {
+        return slowdown > 0;
+    }
+
     /**
      * Returns whether this report was made after another one of the same guard.
      *
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -245,11 +245,17 @@
                 Ingress.create(
                         vertx,
                         identity,
+                        settings.dataCentre(),
                         control,
                         router(),
                         metrics,
                         new SplittableRandom(identity.incarnation() ^ identity.node().hashCode()));
         pool.setReportListener(ingress::onReport);
+        guard.setReportListener(
+                report -> {
+                    ingress.onReport(report);
+                    peerServer.pushReport(report);
+                });
         ingress.setSender(
                 RoutedAttemptSender.create(identity.node(), guard, pool, ingress::onReport));
         addGauges();
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -44,6 +44,9 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final int QUEUE_TICK_MILLIS = 5;
 
+    // Senders are told at once when the target's time passes this multiple of the usual one.
+    private static final double SLOW_RATIO = 1.5;
+
     private final Vertx vertx;
     private final PeerIdentity identity;
     private final ControlPlane control;
@@ -58,6 +61,7 @@
     private final Map<AttemptId, GuardedCall> calls = new HashMap<>();
     private final Promise<Void> idle = Promise.promise();
     private Consumer<String> serviceListener = service -> {};
+    private Consumer<LoadReport> reportListener = report -> {};
     private boolean leaving;
     private long reportSequence;
 
@@ -113,6 +117,11 @@
         serviceListener = listener;
     }
 
+    /** Sets who is told the load when the target has become slow or has recovered. */
+    public void setReportListener(Consumer<LoadReport> listener) {
+        reportListener = listener;
+    }
+
     /** Takes in what the target, or the settings in its place, announce. */
     public void onAnnouncement(TargetAnnouncement announcement) {
         serviceListener.accept(announcement.service());
@@ -216,6 +225,7 @@
             return Optional.empty();
         }
         AdmissionController current = admission.get();
+        long nowNanos = System.nanoTime();
         reportSequence++;
         return Optional.of(
                 new LoadReport(
@@ -226,9 +236,10 @@
                         current.queued(),
                         current.limit(),
                         monitor.slots(),
-                        current.serviceTimeNanos(System.nanoTime()) / 1_000,
+                        current.serviceTimeNanos(nowNanos) / 1_000,
                         current.errorRatio(),
-                        state()));
+                        state(),
+                        current.slowdown(nowNanos)));
     }
 
     private void take(CallFrame frame, Consumer<AttemptAnswer> listener, long nowNanos) {
@@ -317,6 +328,7 @@
                         call.serviceTimeNanos(nowNanos),
                         result.isFailure(),
                         nowNanos);
+        result.condition().ifPresent(told -> onCondition(told, nowNanos));
         if (result.kind() == TargetResult.Kind.BROKEN) {
             suspects.add(call.description().fingerprint(), nowNanos);
         }
@@ -325,6 +337,16 @@
         pump(nowNanos);
     }
 
+    private void onCondition(TargetCondition told, long nowNanos) {
+        AdmissionController current = admission.get();
+        boolean wasSlow = current.slowdown(nowNanos) >= SLOW_RATIO;
+        current.onSlowdown(told.slowdown(), nowNanos);
+        monitor.onCondition(nowNanos);
+        if (wasSlow != told.slowdown() >= SLOW_RATIO) {
+            report().ifPresent(reportListener);
+        }
+    }
+
     private void end(GuardedCall call, FinishedCall finished) {
         long nowNanos = System.nanoTime();
         calls.remove(call.id());
@@ -429,6 +451,11 @@
             announce();
         }
 
+        @Override
+        public void onCondition(TargetCondition condition) {
+            Guard.this.onCondition(condition, System.nanoTime());
+        }
+
         @Override
         public void onCrash() {
             Set<Long> fingerprints = suspects.take(System.nanoTime());
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -27,6 +27,9 @@
         /** The state of the target has changed. */
         void onState(TargetState state);
 
+        /** The target has told its load. */
+        void onCondition(TargetCondition condition);
+
         /** The target has crashed or restarted without warning. */
         void onCrash();
     }
@@ -37,6 +40,9 @@
     // Three announcements at their usual distance of 1.5 s.
     private static final long SILENCE_NANOS = 4_500_000_000L;
 
+    // Slow phases last about half a second; an older condition hides a part of one.
+    private static final long CONDITION_NANOS = 100_000_000L;
+
     private final Vertx vertx;
     private final TargetProtocol protocol;
     private final UnaryOperator<String> healthPathOf;
@@ -55,6 +61,7 @@
     private boolean polling;
     private int failedPolls;
     private long heardNanos = System.nanoTime();
+    private long conditionNanos = System.nanoTime();
     private long polls;
 
     TargetMonitor(
@@ -167,6 +174,11 @@
         budget.onCall();
     }
 
+    /** Takes in that the target has told its load beside an answer. */
+    void onCondition(long nowNanos) {
+        conditionNanos = nowNanos;
+    }
+
     Optional<TargetAnnouncement> announcement() {
         return Optional.ofNullable(announcement);
     }
@@ -208,10 +220,11 @@
                         });
     }
 
-    /** A target whose announcements show that it runs is polled only when they stop. */
+    /** A target whose announcements show that it runs is polled when it tells nothing else. */
     private boolean needsPoll(long nowNanos) {
         return !protocol.announcementShowsLife()
                 || state == TargetState.DOWN
+                || nowNanos - conditionNanos > CONDITION_NANOS
                 || nowNanos - heardNanos > SILENCE_NANOS;
     }
 
@@ -225,6 +238,8 @@
             return;
         }
         PollReading reading = protocol.readPoll(path, result.result());
+        conditionNanos = System.nanoTime();
+        protocol.conditionOf(result.result().headers()).ifPresent(listener::onCondition);
         switch (reading.kind()) {
             case UNKNOWN_PATH -> {
                 pollPath++;
--- a/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
@@ -26,6 +26,7 @@
 
     private final Vertx vertx;
     private final PeerIdentity identity;
+    private final String dataCentre;
     private final ControlPlane control;
     private AttemptSender sender;
     private final KeyRouter keys;
@@ -39,12 +40,14 @@
     private Ingress(
             Vertx vertx,
             PeerIdentity identity,
+            String dataCentre,
             ControlPlane control,
             KeyRouter keys,
             NodeMetrics metrics,
             RandomGenerator random) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.identity = Objects.requireNonNull(identity, "identity");
+        this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
         this.control = Objects.requireNonNull(control, "control");
         this.keys = Objects.requireNonNull(keys, "keys");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
@@ -55,11 +58,12 @@
     public static Ingress create(
             Vertx vertx,
             PeerIdentity identity,
+            String dataCentre,
             ControlPlane control,
             KeyRouter keys,
             NodeMetrics metrics,
             RandomGenerator random) {
-        return new Ingress(vertx, identity, control, keys, metrics, random);
+        return new Ingress(vertx, identity, dataCentre, control, keys, metrics, random);
     }
 
     /** Sets what carries attempts to guards; must be called before the first call. */
@@ -114,7 +118,7 @@
                                 service.policy(), PolicyDefinition.withDefaults(service.policy()));
         ServiceState state = services.get(service.name());
         if (state == null || !state.policy().equals(policy)) {
-            state = new ServiceState(service.name(), policy, sender, random);
+            state = new ServiceState(service.name(), dataCentre, policy, sender, random);
             services.put(service.name(), state);
         }
         return state;
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -31,6 +31,9 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final int SERVER_ERROR = 500;
 
+    // A small part of the time that calls take, so that a slow phase is answered early.
+    private static final long SPEED_CHECK_NANOS = 25_000_000L;
+
     private final Ingress ingress;
     private final Vertx vertx;
     private final ServiceState state;
@@ -215,11 +218,15 @@
     }
 
     private void scheduleHedge() {
-        OptionalLong delayNanos = state.hedges().delayNanos();
-        if (ended || !request.idempotent() || delayNanos.isEmpty()) {
+        if (ended || !request.idempotent() || open.isEmpty()) {
             return;
         }
-        hedgeAfter(delayNanos.getAsLong());
+        OptionalLong delayNanos = state.hedges().delayNanos();
+        if (state.tellsSpeed(workingTarget())) {
+            hedgeAfter(SPEED_CHECK_NANOS);
+        } else if (delayNanos.isPresent()) {
+            hedgeAfter(delayNanos.getAsLong());
+        }
     }
 
     private void hedgeAfter(long delayNanos) {
@@ -232,21 +239,31 @@
             return;
         }
         long nowNanos = System.nanoTime();
-        NodeId working = open.values().iterator().next().target().node();
+        NodeId working = workingTarget();
+        boolean told = state.tellsSpeed(working);
+        long recheckNanos = told ? SPEED_CHECK_NANOS : state.hedges().recheckNanos();
         if (!state.isSlow(working, nowNanos)) {
             // A call whose own work is long gains nothing; the target may still become slow.
-            hedgeAfter(state.hedges().recheckNanos());
+            hedgeAfter(recheckNanos);
             return;
         }
         Set<NodeId> others = new HashSet<>(excluded);
         open.values().forEach(attempt -> others.add(attempt.target().node()));
         Optional<RouteTarget> target = state.choose(others, nowNanos);
+        if (told && target.filter(other -> state.isSlow(other.node(), nowNanos)).isPresent()) {
+            hedgeAfter(recheckNanos);
+            return;
+        }
         if (target.isPresent() && state.hedges().tryHedge()) {
             ingress.metrics().onHedge();
             send(target.get(), false, nowNanos);
         }
     }
 
+    private NodeId workingTarget() {
+        return open.values().iterator().next().target().node();
+    }
+
     private void onDeadline() {
         if (ended) {
             return;
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -31,10 +31,13 @@
     // the choice itself.
     private static final long CANDIDATES_KEEP_NANOS = 20_000_000L;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     // The time between two questions to a guard whose target takes no work.
     private static final long ASK_NANOS = 200_000_000L;
 
     private final String service;
+    private final String dataCentre;
     private final PolicyDefinition policy;
     private final AttemptSender sender;
     private final RandomGenerator random;
@@ -51,8 +54,13 @@
     private long askedNanos;
 
     ServiceState(
-            String service, PolicyDefinition policy, AttemptSender sender, RandomGenerator random) {
+            String service,
+            String dataCentre,
+            PolicyDefinition policy,
+            AttemptSender sender,
+            RandomGenerator random) {
         this.service = service;
+        this.dataCentre = dataCentre;
         this.policy = policy;
         this.sender = sender;
         this.random = random;
@@ -93,13 +101,19 @@
                             target.node(),
                             target.incarnation(),
                             target.dataCentre(),
-                            sender.roundTripNanos(target),
+                            sender.roundTripNanos(target) + dataCentreCostNanos(target),
                             target.suspect()));
         }
         candidates = List.copyOf(next);
         askUnwilling(nowNanos);
     }
 
+    private long dataCentreCostNanos(RouteTarget target) {
+        return target.dataCentre().equals(dataCentre)
+                ? 0
+                : policy.dataCentreCostMillis() * NANOS_PER_MILLI;
+    }
+
     /** Returns the targets that may be given work. */
     List<RouteTarget> targets() {
         return targets;
@@ -131,6 +145,11 @@
         return strategy.isSlow(node, nowNanos);
     }
 
+    /** Returns whether the target tells its speed, so that a slow phase shows at once. */
+    boolean tellsSpeed(NodeId node) {
+        return strategy.tellsSpeed(node);
+    }
+
     void onSent(NodeId node, long nowNanos) {
         strategy.onSent(node, nowNanos);
     }
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
@@ -172,6 +172,11 @@
         report.ifPresent(pool::onReport);
     }
 
+    @Override
+    public void onReport(LoadReport report) {
+        pool.onReport(report);
+    }
+
     @Override
     public void onClosed(PeerLink closed) {
         link = null;
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
@@ -28,6 +28,9 @@
         /** A pong has arrived. */
         void onPong(long roundTripNanos, Optional<LoadReport> report);
 
+        /** A report has arrived that answers no ping. */
+        void onReport(LoadReport report);
+
         /** The link is closed or could not be opened. */
         void onClosed(PeerLink link);
     }
@@ -166,6 +169,8 @@
     private void onPong(PongFrame pong) {
         if (pong.sequence() == pingSequence) {
             owner.onPong(System.nanoTime() - pingSentNanos, pong.report());
+        } else {
+            pong.report().ifPresent(owner::onReport);
         }
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.dogwoodwood.codec.wire.ControlFrame;
+import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.settings.Endpoint;
 
@@ -66,6 +67,11 @@
         calls = Objects.requireNonNull(handler, "handler");
     }
 
+    /** Tells all connected peers the load; must be called on the traffic loop. */
+    public void pushReport(LoadReport report) {
+        peers.forEach(peer -> peer.pushReport(report));
+    }
+
     /** Sets what answers control frames; may be called on any thread. */
     public void setControlHandler(Function<ControlFrame, Future<ControlFrame>> handler) {
         controlHandler = Objects.requireNonNull(handler, "handler");
--- a/node/src/main/java/org/dogwoodwood/node/peer/ServerPeer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/ServerPeer.java
@@ -17,6 +17,7 @@
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.calls.AttemptId;
 import org.dogwoodwood.core.calls.FinishedCall;
+import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.node.logging.LogEvent;
 
 /** One connection that a peer has opened to this node. */
@@ -53,6 +54,13 @@
         connection.send(frame);
     }
 
+    /** Sends a report that answers no ping. */
+    void pushReport(LoadReport report) {
+        if (greeted) {
+            send(PongFrame.of(PongFrame.UNASKED, Optional.of(report)));
+        }
+    }
+
     @Override
     public void onFrame(Frame frame) {
         if (frame instanceof HelloFrame hello) {
