Limit cold targets by rate, and log each decision on a call without blocking

A cold target now starts calls at the rate of its service. Log lines go through a bounded queue to standard output, with one line per refused, retried, hedged, failed, cancelled or late call.

--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -35,6 +35,7 @@
     private final ServiceTimeEstimate estimate;
     private final ColdStartRamp ramp;
     private final ToldSpeed speed = new ToldSpeed();
+    private final ColdRate coldRate;
     private final Map<AttemptKey, String> classInFlight = new HashMap<>();
     private final Map<String, Integer> inFlightByClass = new HashMap<>();
     private final List<CallDescription> expired = new ArrayList<>();
@@ -51,6 +52,7 @@
         this.queue = new DeadlineQueue(callClasses);
         this.estimate = new ServiceTimeEstimate(INITIAL_SERVICE_TIME_NANOS, nowNanos);
         this.ramp = new ColdStartRamp(capacity);
+        this.coldRate = new ColdRate(policy.coldCallsPerSecond(), nowNanos);
         this.capacity = capacity;
     }
 
@@ -81,7 +83,7 @@
             return AdmissionDecision.refuse(ErrorCode.CLASS_LIMIT);
         }
         int startLimit = call.mayQueue() ? limit() : preferredLimit(nowNanos);
-        if (queue.size() == 0 && inFlight() < startLimit) {
+        if (queue.size() == 0 && inFlight() < startLimit && mayStartCold(nowNanos)) {
             start(call);
             return AdmissionDecision.start();
         }
@@ -106,7 +108,7 @@
     @Override
     public Optional<CallDescription> nextStartable(long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        if (queue.size() == 0 || inFlight() >= limit()) {
+        if (queue.size() == 0 || inFlight() >= limit() || !mayStartCold(nowNanos)) {
             return Optional.empty();
         }
         expired.addAll(queue.removeDueBefore(nowNanos));
@@ -228,7 +230,8 @@
     private double expectedWaitNanos(String callClass) {
         int limit = limit();
         double ahead = queue.queuedAhead(callClass) + Math.max(0, inFlight() - limit) + 1;
-        return ahead * estimate.recentNanos() / limit;
+        double waitNanos = ahead * estimate.recentNanos() / limit;
+        return capacity.cold() ? Math.max(waitNanos, coldRate.waitNanos(ahead)) : waitNanos;
     }
 
     private boolean exceedsClassShare(String callClass) {
@@ -240,7 +243,12 @@
         return inFlightByClass.getOrDefault(callClass, 0) >= allowed;
     }
 
+    private boolean mayStartCold(long nowNanos) {
+        return coldRate.allows(nowNanos) || !capacity.cold();
+    }
+
     private void start(CallDescription call) {
+        coldRate.onStart();
         classInFlight.put(new AttemptKey(call.id(), call.attempt()), call.callClass());
         inFlightByClass.merge(call.callClass(), 1, Integer::sum);
     }
--- a/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
@@ -46,6 +46,42 @@
         assertThat(bounded.offer(call("gold", true, DEADLINE), now).kind()).isEqualTo(Kind.QUEUE);
     }
 
+    // A cold target that gets calls faster than it bears them collapses.
+    @Test
+    void startsCallsOfAColdTargetAtItsRate() {
+        PolicyDefinition defaults = PolicyDefinition.withDefaults("default");
+        PolicyDefinition policy =
+                new PolicyDefinition(
+                        "default",
+                        defaults.retryShare(),
+                        defaults.hedgeQuantile(),
+                        60_000,
+                        18,
+                        defaults.ejectionShare(),
+                        defaults.crashLimit(),
+                        defaults.crashHoldSeconds(),
+                        36,
+                        0,
+                        0);
+        DefaultAdmissionController cold =
+                DefaultAdmissionController.create(
+                        policy, CLASSES, capacity(18, 240, 18, true, 1), 0);
+        int started = 0;
+        for (now = 0; now < 1_000 * MILLI; now += MILLI) {
+            CallDescription call = call("gold", true, now + 10_000 * MILLI);
+            if (cold.offer(call, now).kind() == Kind.START) {
+                started++;
+                cold.onEnded(call.id(), 0, MILLI, false, now);
+            }
+            Optional<CallDescription> next = cold.nextStartable(now);
+            if (next.isPresent()) {
+                started++;
+                cold.onEnded(next.get().id(), 0, MILLI, false, now);
+            }
+        }
+        assertThat(started).isBetween(34, 40);
+    }
+
     // The ingress can try another target only if a busy guard tells it so at once.
     @Test
     void refusesAtOnceWhenTheCallMayNotQueue() {
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -249,7 +249,8 @@
                         control,
                         router(),
                         metrics,
-                        new SplittableRandom(identity.incarnation() ^ identity.node().hashCode()));
+                        new SplittableRandom(identity.incarnation() ^ identity.node().hashCode()),
+                        log);
         pool.setReportListener(ingress::onReport);
         guard.setReportListener(
                 report -> {
--- a/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
+++ b/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
@@ -51,6 +51,7 @@
         } catch (ExecutionException | TimeoutException | InterruptedException e) {
             Throwable cause = e instanceof ExecutionException ? e.getCause() : e;
             log.write(LogEvent.NODE_FAILED, "message", String.valueOf(cause));
+            log.flush();
             vertx.close();
             return false;
         }
@@ -71,5 +72,6 @@
         } catch (ExecutionException | TimeoutException | InterruptedException e) {
             log.write(LogEvent.NODE_FAILED, "message", "The graceful stop failed: " + e);
         }
+        log.flush();
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/DefaultTargetProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/DefaultTargetProtocol.java
@@ -28,6 +28,11 @@
         return Headers.forTarget(frame, remainingMillis);
     }
 
+    @Override
+    public Optional<String> requestIdOf(CallFrame frame) {
+        return Optional.empty();
+    }
+
     @Override
     public Reading read(CallFrame frame, int status, MultiMap headers) {
         return Reading.ANSWER;
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetProtocol.java
@@ -28,6 +28,9 @@
      */
     List<HeaderField> headersFor(CallFrame frame, TargetAnnouncement target, long remainingMillis);
 
+    /** Returns the caller's own id of a call, or empty if it gave none. */
+    Optional<String> requestIdOf(CallFrame frame);
+
     /**
      * Reads the head of a response.
      *
--- a/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
@@ -17,6 +17,7 @@
 import org.dogwoodwood.core.routing.RouteTarget;
 import org.dogwoodwood.core.routing.RoutingTable;
 import org.dogwoodwood.node.control.ControlPlane;
+import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.peer.AttemptSender;
 import org.dogwoodwood.node.peer.PeerIdentity;
@@ -32,6 +33,7 @@
     private final KeyRouter keys;
     private final NodeMetrics metrics;
     private final RandomGenerator random;
+    private final EventLog log;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<NodeId, String> serviceByNode = new HashMap<>();
     private RoutingTable indexed = RoutingTable.empty();
@@ -44,7 +46,8 @@
             ControlPlane control,
             KeyRouter keys,
             NodeMetrics metrics,
-            RandomGenerator random) {
+            RandomGenerator random,
+            EventLog log) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.identity = Objects.requireNonNull(identity, "identity");
         this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
@@ -52,6 +55,7 @@
         this.keys = Objects.requireNonNull(keys, "keys");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.random = Objects.requireNonNull(random, "random");
+        this.log = Objects.requireNonNull(log, "log");
     }
 
     /** Returns an ingress that has accepted no call yet. */
@@ -62,8 +66,9 @@
             ControlPlane control,
             KeyRouter keys,
             NodeMetrics metrics,
-            RandomGenerator random) {
-        return new Ingress(vertx, identity, dataCentre, control, keys, metrics, random);
+            RandomGenerator random,
+            EventLog log) {
+        return new Ingress(vertx, identity, dataCentre, control, keys, metrics, random, log);
     }
 
     /** Sets what carries attempts to guards; must be called before the first call. */
@@ -97,6 +102,10 @@
         return control.routingTable();
     }
 
+    EventLog log() {
+        return log;
+    }
+
     AttemptSender sender() {
         return sender;
     }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -18,6 +18,7 @@
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.Outcome;
 import org.dogwoodwood.core.routing.RouteTarget;
+import org.dogwoodwood.node.logging.LogEvent;
 import org.dogwoodwood.node.peer.AttemptAnswer;
 
 /**
@@ -31,6 +32,9 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final int SERVER_ERROR = 500;
 
+    // One ordinary answer in this many is logged, which shows what normal looks like.
+    private static final int SAMPLED_CALLS = 200;
+
     // A small part of the time that calls take, so that a slow phase is answered early.
     private static final long SPEED_CHECK_NANOS = 25_000_000L;
 
@@ -85,6 +89,17 @@
         if (!ended) {
             ended = true;
             cancelTimers();
+            ingress.log()
+                    .write(
+                            LogEvent.CALL_CANCELLED,
+                            "request",
+                            requestId(),
+                            "service",
+                            state.service(),
+                            "attempts",
+                            attemptsMade,
+                            "age_ms",
+                            millisSince(request.arrivedNanos(), System.nanoTime()));
             cancelOpen(AttemptResult.CANCELLED);
         }
     }
@@ -199,6 +214,21 @@
                                         request.deadlineNanos() - nowNanos);
         if (retry) {
             ingress.metrics().onRetry();
+            ingress.log()
+                    .write(
+                            LogEvent.CALL_RETRIED,
+                            "request",
+                            requestId(),
+                            "service",
+                            state.service(),
+                            "attempt",
+                            attempt.id().attempt(),
+                            "target",
+                            attempt.target().node(),
+                            "error",
+                            finished.error().orElseThrow(),
+                            "age_ms",
+                            millisSince(request.arrivedNanos(), nowNanos));
             if (finished.outcome() == Outcome.NOT_RUN) {
                 attemptsMade = state.retries().nextAttempt(attemptsMade, attempt.mayQueue());
             }
@@ -256,6 +286,17 @@
         }
         if (target.isPresent() && state.hedges().tryHedge()) {
             ingress.metrics().onHedge();
+            ingress.log()
+                    .write(
+                            LogEvent.CALL_HEDGED,
+                            "request",
+                            requestId(),
+                            "slow_target",
+                            working,
+                            "target",
+                            target.get().node(),
+                            "age_ms",
+                            millisSince(request.arrivedNanos(), nowNanos));
             send(target.get(), false, nowNanos);
         }
     }
@@ -284,7 +325,63 @@
         cancelTimers();
         cancelOpen(AttemptResult.CANCELLED);
         boolean certain = finished.answer().isPresent() || mayHaveRun.isEmpty();
-        listener.accept(certain ? finished : mayHaveRun.get());
+        FinishedCall result = certain ? finished : mayHaveRun.get();
+        logEnd(result);
+        listener.accept(result);
+    }
+
+    private void logEnd(FinishedCall result) {
+        long ageMillis = millisSince(request.arrivedNanos(), System.nanoTime());
+        if (result.error().isPresent()) {
+            ingress.log()
+                    .write(
+                            result.outcome() == Outcome.NOT_RUN
+                                    ? LogEvent.CALL_REFUSED
+                                    : LogEvent.CALL_FAILED,
+                            "request",
+                            requestId(),
+                            "service",
+                            state.service(),
+                            "class",
+                            request.callClass(),
+                            "error",
+                            result.error().get(),
+                            "attempts",
+                            attemptsMade,
+                            "targets",
+                            state.candidateCount(),
+                            "limit_ms",
+                            request.terms().timeoutMillis(),
+                            "age_ms",
+                            ageMillis);
+            return;
+        }
+        int status = result.answer().orElseThrow().status();
+        boolean late = ageMillis > request.terms().timeoutMillis() / 2;
+        if (status >= SERVER_ERROR || late || id.counter() % SAMPLED_CALLS == 0) {
+            ingress.log()
+                    .write(
+                            LogEvent.CALL_ANSWERED,
+                            "request",
+                            requestId(),
+                            "service",
+                            state.service(),
+                            "status",
+                            status,
+                            "attempts",
+                            attemptsMade,
+                            "age_ms",
+                            ageMillis);
+        }
+    }
+
+    private String requestId() {
+        String given = request.terms().requestId();
+        return given.isEmpty() ? id.toString() : given;
+    }
+
+    private static long millisSince(long thenNanos, long nowNanos) {
+        return (nowNanos - thenNanos) / NANOS_PER_MILLI;
     }
 
     private void cancelOpen(AttemptResult result) {
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -70,6 +70,10 @@
         this.hedges = QuantileHedgeStrategy.create(policy.hedgeQuantile(), budget);
     }
 
+    String service() {
+        return service;
+    }
+
     PolicyDefinition policy() {
         return policy;
     }
--- a/node/src/main/java/org/dogwoodwood/node/logging/EventLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/EventLog.java
@@ -7,16 +7,18 @@
 import org.tinylog.Logger;
 
 /**
- * Writes log events as lines of {@code key=value} fields. Repeated events are limited, since a
- * fault that touches every call must not fill a log. May be used on any thread.
+ * Writes log events as lines of {@code key=value} fields to standard output, on a thread of its
+ * own. Repeated events are limited, since a fault that touches every call must not fill a log. May
+ * be used on any thread.
  */
 public final class EventLog {
 
-    private static final int MAX_LINES_PER_SECOND = 10;
     private static final long SECOND_NANOS = 1_000_000_000L;
 
     private final Map<LogEvent, Window> windows = new EnumMap<>(LogEvent.class);
 
+    private final LogWriter writer = LogWriter.start(EventLog::output);
+
     private EventLog() {}
 
     /** Returns a log that writes to tinylog. */
@@ -37,10 +39,24 @@
             return;
         }
         String line = format(event, suppressed, fields);
-        switch (event.severity()) {
-            case INFO -> Logger.info((Object) line);
-            case WARNING -> Logger.warn((Object) line);
-            default -> Logger.error((Object) line);
+        writer.write(new LogWriter.Line(event.severity(), line));
+    }
+
+    /** Returns how many lines were dropped because the reader of the log was too slow. */
+    public long dropped() {
+        return writer.dropped();
+    }
+
+    /** Waits a short time until the lines so far are written; call it before the process ends. */
+    public void flush() {
+        writer.flush();
+    }
+
+    private static void output(LogWriter.Line line) {
+        switch (line.severity()) {
+            case INFO -> Logger.info((Object) line.text());
+            case WARNING -> Logger.warn((Object) line.text());
+            default -> Logger.error((Object) line.text());
         }
     }
 
@@ -81,12 +97,13 @@
     private synchronized long countSuppressed(LogEvent event, long nowNanos) {
         Window window = windows.get(event);
         if (window == null || nowNanos - window.startNanos > SECOND_NANOS) {
-            long suppressed = window == null ? 0 : Math.max(0, window.lines - MAX_LINES_PER_SECOND);
+            long suppressed =
+                    window == null ? 0 : Math.max(0, window.lines - event.maxLinesPerSecond());
             windows.put(event, new Window(nowNanos));
             return suppressed;
         }
         window.lines++;
-        return window.lines > MAX_LINES_PER_SECOND ? -1 : 0;
+        return window.lines > event.maxLinesPerSecond() ? -1 : 0;
     }
 
     private static final class Window {
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -33,6 +33,15 @@
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
 
+    CALL_REFUSED(451, Severity.INFO, "The node refused a call, which was not run."),
+    CALL_RETRIED(452, Severity.INFO, "A call goes to another target."),
+    CALL_HEDGED(453, Severity.INFO, "A call also goes to a second target."),
+    CALL_FAILED(454, Severity.INFO, "A call ended without an answer of a target."),
+    CALL_CANCELLED(455, Severity.INFO, "A caller left before its answer."),
+    CALL_ANSWERED(456, Severity.INFO, "A call was answered late or with an error, or is a sample."),
+    GUARD_REFUSED(457, Severity.INFO, "The guard refused an attempt, which was not run."),
+    GUARD_ENDED(458, Severity.INFO, "An attempt at the target ended without an answer."),
+
     ADMIN_REFUSED(501, Severity.WARNING, "A request to the admin port lacks the shared secret."),
     HANDLER_FAILED(502, Severity.ERROR, "An unexpected failure was caught."),
 
@@ -49,6 +58,13 @@
     LOG_STATE_ASSUMED(611, Severity.WARNING, "The version is taken from the first record."),
     CONFIGURATION_DIFFERS(612, Severity.ERROR, "A peer has another document of a version.");
 
+    private static final int LINES_PER_SECOND = 10;
+
+    // A node refuses or fails fewer calls per second, unless it is far beyond its capacity.
+    private static final int CALL_LINES_PER_SECOND = 200;
+    private static final int FIRST_CALL_NUMBER = 450;
+    private static final int FIRST_ADMIN_NUMBER = 500;
+
     private final int number;
     private final Severity severity;
     private final String meaning;
@@ -64,6 +80,15 @@
         return number;
     }
 
+    /** Returns how many lines of the event are written per second at most. */
+    int maxLinesPerSecond() {
+        return isDecisionOnCall() ? CALL_LINES_PER_SECOND : LINES_PER_SECOND;
+    }
+
+    private boolean isDecisionOnCall() {
+        return number >= FIRST_CALL_NUMBER && number < FIRST_ADMIN_NUMBER;
+    }
+
     /** Returns how much attention the event needs. */
     public Severity severity() {
         return severity;
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogWriter.java
@@ -0,0 +1,92 @@
+package org.dogwoodwood.node.logging;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+/**
+ * Writes lines on a thread of its own, so that a reader that stalls delays no call. Lines that find
+ * the queue full are dropped and counted. May be used on any thread.
+ */
+final class LogWriter {
+
+    /** Bounds the memory of lines that wait, to some megabytes. */
+    private static final int MAX_WAITING_LINES = 8_192;
+
+    private static final long FLUSH_MILLIS = 500;
+    private static final long FLUSH_STEP_MILLIS = 5;
+
+    private final BlockingQueue<Line> waiting = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final Consumer<Line> output;
+    private volatile boolean writing;
+
+    private LogWriter(Consumer<Line> output) {
+        this.output = Objects.requireNonNull(output, "output");
+    }
+
+    /** Returns a writer whose thread has started. */
+    static LogWriter start(Consumer<Line> output) {
+        LogWriter writer = new LogWriter(output);
+        Thread thread = new Thread(writer::run, "dogwoodwood-log");
+        thread.setDaemon(true);
+        thread.start();
+        return writer;
+    }
+
+    /** Queues a line and returns true, or counts it as dropped and returns false. */
+    boolean write(Line line) {
+        boolean accepted = waiting.offer(line);
+        if (!accepted) {
+            dropped.incrementAndGet();
+        }
+        return accepted;
+    }
+
+    /** Returns how many lines have been dropped. */
+    long dropped() {
+        return dropped.get();
+    }
+
+    /** Waits a short time until the lines that wait are written. */
+    void flush() {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_MILLIS);
+        try {
+            while ((writing || !waiting.isEmpty()) && System.nanoTime() - untilNanos < 0) {
+                Thread.sleep(FLUSH_STEP_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        List<Line> batch = new ArrayList<>();
+        try {
+            while (true) {
+                batch.add(waiting.take());
+                writing = true;
+                waiting.drainTo(batch);
+                batch.forEach(output);
+                batch.clear();
+                writing = false;
+            }
+        } catch (InterruptedException e) {
+            // Nothing interrupts the thread but the end of the process.
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * A line that waits to be written.
+     *
+     * @param severity how much attention it needs
+     * @param text the line without time and level
+     */
+    record Line(Severity severity, String text) {}
+}
