--- a/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
@@ -1,7 +1,10 @@
 package org.dogwoodwood.core.admission;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.dogwoodwood.core.configuration.CallClassDefinition;
+import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.model.CallDescription;
 import org.dogwoodwood.core.model.CallId;
 
@@ -95,6 +98,16 @@
         return 0;
     }
 
+    /**
+     * Takes in another policy or other classes; calls in flight and in the queue are kept.
+     *
+     * @param policy the policy of the service, not null
+     * @param callClasses the classes by name, not null; others have weight 1 and the whole target
+     * @param nowNanos the present time in nanoseconds
+     */
+    void onConfiguration(
+            PolicyDefinition policy, Map<String, CallClassDefinition> callClasses, long nowNanos);
+
     /** Returns the number of calls that the target is working on. */
     int inFlight();
 
--- a/core/src/main/java/org/dogwoodwood/core/admission/ColdRate.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/ColdRate.java
@@ -25,6 +25,10 @@
         this.lastNanos = nowNanos;
     }
 
+    double callsPerSecond() {
+        return callsPerSecond;
+    }
+
     /** Returns whether a call may start now. */
     boolean allows(long nowNanos) {
         if (callsPerSecond == 0) {
--- a/core/src/main/java/org/dogwoodwood/core/admission/DeadlineQueue.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DeadlineQueue.java
@@ -19,7 +19,7 @@
 
     private static final int DEFAULT_WEIGHT = 1;
 
-    private final Map<String, CallClassDefinition> definitions;
+    private Map<String, CallClassDefinition> definitions;
     private final Map<String, ClassQueue> queues = new LinkedHashMap<>();
     private int size;
     private long sequence;
@@ -29,6 +29,12 @@
         this.definitions = Map.copyOf(definitions);
     }
 
+    /** Takes in other classes; calls that wait keep their places within their class. */
+    void setDefinitions(Map<String, CallClassDefinition> newDefinitions) {
+        definitions = Map.copyOf(newDefinitions);
+        queues.forEach((name, queue) -> queue.weight = weightOf(name));
+    }
+
     void add(CallDescription call) {
         ClassQueue queue =
                 queues.computeIfAbsent(call.callClass(), name -> new ClassQueue(weightOf(name)));
@@ -126,7 +132,7 @@
 
     /** The waiting calls of one class. */
     private static final class ClassQueue {
-        private final int weight;
+        private int weight;
         private final PriorityQueue<Entry> calls = new PriorityQueue<>(Entry.ORDER);
         private double served;
 
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -29,13 +29,13 @@
 
     private static final double ERROR_WEIGHT = 0.05;
 
-    private final long queueLimitNanos;
-    private final Map<String, CallClassDefinition> callClasses;
+    private long queueLimitNanos;
+    private Map<String, CallClassDefinition> callClasses;
     private final DeadlineQueue queue;
     private final ServiceTimeEstimate estimate;
     private final ColdStartRamp ramp;
     private final ToldSpeed speed = new ToldSpeed();
-    private final ColdRate coldRate;
+    private ColdRate coldRate;
     private final Map<AttemptKey, String> classInFlight = new HashMap<>();
     private final Map<String, Integer> inFlightByClass = new HashMap<>();
     private final List<CallDescription> expired = new ArrayList<>();
@@ -162,6 +162,17 @@
         capacity = newCapacity;
     }
 
+    @Override
+    public void onConfiguration(
+            PolicyDefinition policy, Map<String, CallClassDefinition> newClasses, long nowNanos) {
+        queueLimitNanos = policy.queueLimitMillis() * NANOS_PER_MILLI;
+        callClasses = Map.copyOf(newClasses);
+        queue.setDefinitions(newClasses);
+        if (policy.coldCallsPerSecond() != coldRate.callsPerSecond()) {
+            coldRate = new ColdRate(policy.coldCallsPerSecond(), nowNanos);
+        }
+    }
+
     @Override
     public int inFlight() {
         return classInFlight.size();
--- a/core/src/main/java/org/dogwoodwood/core/retry/DefaultRetryStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/retry/DefaultRetryStrategy.java
@@ -19,11 +19,7 @@
 
     /** Refusals that another target, or another incarnation, may well not repeat. */
     private static final Set<ErrorCode> LOCAL_REFUSALS =
-            EnumSet.of(
-                    ErrorCode.INCARNATION_CHANGED,
-                    ErrorCode.KEY_NOT_OWNED,
-                    ErrorCode.NO_TARGET,
-                    ErrorCode.TARGET_REFUSED);
+            EnumSet.of(ErrorCode.KEY_NOT_OWNED, ErrorCode.NO_TARGET, ErrorCode.TARGET_REFUSED);
 
     /**
      * Refusals that cost one message and no work. While a data centre leaves, they come faster than
@@ -32,6 +28,7 @@
     private static final Set<ErrorCode> REFUSALS_BEFORE_WORK =
             EnumSet.of(
                     ErrorCode.GUARD_BUSY,
+                    ErrorCode.INCARNATION_CHANGED,
                     ErrorCode.TARGET_DRAINING,
                     ErrorCode.DATA_CENTRE_OUT,
                     ErrorCode.LEASE_LAPSED);
--- a/faults/src/test/java/org/dogwoodwood/faults/invariant/BrokenPolicies.java
+++ b/faults/src/test/java/org/dogwoodwood/faults/invariant/BrokenPolicies.java
@@ -1,12 +1,15 @@
 package org.dogwoodwood.faults.invariant;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongPredicate;
 import org.dogwoodwood.core.admission.AdmissionController;
 import org.dogwoodwood.core.admission.AdmissionDecision;
 import org.dogwoodwood.core.admission.TargetCapacity;
 import org.dogwoodwood.core.calls.AttemptId;
+import org.dogwoodwood.core.configuration.CallClassDefinition;
+import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.idempotency.DefaultIdempotencyRegistry;
 import org.dogwoodwood.core.idempotency.IdempotencyRegistry;
 import org.dogwoodwood.core.idempotency.KeyDecision;
@@ -206,6 +209,14 @@
             limited.onCapacity(capacity, nowNanos);
         }
 
+        @Override
+        public void onConfiguration(
+                PolicyDefinition policy,
+                Map<String, CallClassDefinition> callClasses,
+                long nowNanos) {
+            limited.onConfiguration(policy, callClasses, nowNanos);
+        }
+
         @Override
         public int inFlight() {
             return 0;
--- a/node/src/main/java/org/dogwoodwood/node/guard/AdmissionHolder.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/AdmissionHolder.java
@@ -11,43 +11,45 @@
 import org.dogwoodwood.core.configuration.ServiceDefinition;
 import org.dogwoodwood.core.routing.RoutingTable;
 
-/**
- * The admission controller of the target. A change of the service's policy or of the classes
- * replaces it at the first moment at which nothing is in flight or queued.
- */
+/** The admission controller of the target, kept to the configuration in force. */
 final class AdmissionHolder {
 
     private static final TargetCapacity NO_CAPACITY = new TargetCapacity(1, 1, 1, true, 0);
 
     private final Supplier<RoutingTable> routing;
-    private PolicyDefinition policy = PolicyDefinition.withDefaults("default");
-    private Map<String, CallClassDefinition> classes = Map.of();
-    private TargetCapacity capacity = NO_CAPACITY;
+    private final AdmissionController controller;
     private String service = "";
     private Configuration configuration = Configuration.empty();
-    private AdmissionController controller;
+    private PolicyDefinition policy = PolicyDefinition.withDefaults("default");
+    private Map<String, CallClassDefinition> classes = Map.of();
 
     AdmissionHolder(Supplier<RoutingTable> routing) {
         this.routing = routing;
-        this.controller = newController(System.nanoTime());
+        this.controller =
+                DefaultAdmissionController.create(policy, classes, NO_CAPACITY, System.nanoTime());
     }
 
-    /** Returns the controller in force. */
+    /** Returns the controller, with the configuration in force. */
     AdmissionController get() {
         Configuration next = routing.get().configuration();
-        if (next.version() != configuration.version()
-                && controller.inFlight() == 0
-                && controller.queued() == 0) {
+        if (next.version() != configuration.version()) {
             configuration = next;
             applyConfiguration();
         }
         return controller;
     }
 
-    void onCapacity(String ofService, TargetCapacity next, long nowNanos) {
-        service = ofService;
-        capacity = next;
-        controller.onCapacity(next, nowNanos);
+    /** Returns the policy of the target's service. */
+    PolicyDefinition policy() {
+        return policy;
+    }
+
+    void onCapacity(String ofService, TargetCapacity capacity, long nowNanos) {
+        if (!ofService.equals(service)) {
+            service = ofService;
+            applyConfiguration();
+        }
+        get().onCapacity(capacity, nowNanos);
     }
 
     private void applyConfiguration() {
@@ -56,14 +58,10 @@
         if (!nextPolicy.equals(policy) || !nextClasses.equals(classes)) {
             policy = nextPolicy;
             classes = nextClasses;
-            controller = newController(System.nanoTime());
+            controller.onConfiguration(policy, classes, System.nanoTime());
         }
     }
 
-    private AdmissionController newController(long nowNanos) {
-        return DefaultAdmissionController.create(policy, classes, capacity, nowNanos);
-    }
-
     private static PolicyDefinition policyOf(Configuration configuration, String service) {
         ServiceDefinition definition = configuration.services().get(service);
         String name = definition == null ? "default" : definition.policy();
