--- /dev/null
+++ b/standins/src/main/java/org/dogwoodwood/standins/store/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in of the users' platform store, with the faults that tests need. */
+package org.dogwoodwood.standins.store;
