--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -222,8 +222,13 @@
 
     /** A target whose announcements show that it runs is polled when it tells nothing else. */
     private boolean needsPoll(long nowNanos) {
-        return !protocol.announcementShowsLife()
-                || state == TargetState.DOWN
+        if (!protocol.announcementShowsLife()) {
+            return true;
+        }
+        if (draining) {
+            return false;
+        }
+        return state == TargetState.DOWN
                 || nowNanos - conditionNanos > CONDITION_NANOS
                 || nowNanos - heardNanos > SILENCE_NANOS;
     }
@@ -249,11 +254,22 @@
                 log.write(LogEvent.POLL_MALFORMED, "address", announcement.address());
                 onFailedPoll();
             }
-            case FAILING -> onFailedPoll();
+            case FAILING -> onFailingHealth();
             default -> onHealthy(reading);
         }
     }
 
+    /** Health may say less than a target that still announces itself as ready. */
+    private void onFailingHealth() {
+        boolean announcesItself =
+                protocol.announcementShowsLife()
+                        && state != TargetState.DOWN
+                        && System.nanoTime() - heardNanos <= SILENCE_NANOS;
+        if (!announcesItself) {
+            onFailedPoll();
+        }
+    }
+
     private void onHealthy(PollReading load) {
         failedPolls = 0;
         heardNanos = System.nanoTime();
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -10,6 +10,8 @@
     NODE_STOPPED(103, Severity.INFO, "The node has ended what was in flight and stops."),
     NODE_FAILED(104, Severity.ERROR, "The node cannot start or stop as it should."),
     STOP_INCOMPLETE(105, Severity.WARNING, "The graceful stop ended with calls in flight."),
+    SETTINGS_READ(106, Severity.INFO, "SIGHUP came and the settings file was read again."),
+    SETTINGS_UNUSABLE(107, Severity.ERROR, "SIGHUP came and the settings file is not valid."),
 
     PEER_CONNECTED(201, Severity.INFO, "A connection to a peer is ready."),
     PEER_CONNECT_FAILED(202, Severity.WARNING, "A peer cannot be reached."),
