--- a/codec/src/main/java/org/dogwoodwood/codec/configuration/DraftBuilder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/configuration/DraftBuilder.java
@@ -113,8 +113,7 @@
                 values.whole(ConfigurationKey.POLICY_CRASH_LIMIT),
                 values.whole(ConfigurationKey.POLICY_CRASH_HOLD_SECONDS),
                 values.number(ConfigurationKey.POLICY_COLD_CALLS_PER_SECOND),
-                values.whole(ConfigurationKey.POLICY_DATA_CENTRE_COST_MILLIS),
-                values.whole(ConfigurationKey.POLICY_COLD_START_MILLIS));
+                values.whole(ConfigurationKey.POLICY_DATA_CENTRE_COST_MILLIS));
     }
 
     private RouteDefinition route(String name, Values values, SourceLocation location) {
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
@@ -131,12 +131,6 @@
             PolicyDefinition.DEFAULT_DATA_CENTRE_COST_MILLIS,
             ValueRange.closed(0, 60_000),
             policy(PolicyDefinition::dataCentreCostMillis)),
-    POLICY_COLD_START_MILLIS(
-            "cold_start_millis",
-            "milliseconds",
-            PolicyDefinition.DEFAULT_COLD_START_MILLIS,
-            ValueRange.closed(0, 600_000),
-            policy(PolicyDefinition::coldStartMillis)),
 
     ROUTE_HOST("host", ValueType.TEXT, "", null, route(RouteDefinition::host)),
     ROUTE_PATH_PREFIX("path_prefix", ValueType.TEXT, "", "/", route(RouteDefinition::pathPrefix)),
--- a/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
@@ -15,7 +15,6 @@
  * @param coldCallsPerSecond calls that a cold target gets per second; 0 for no limit
  * @param dataCentreCostMillis how much longer a call may take in its own data centre before a
  *     target in another one is preferred, in milliseconds
- * @param coldStartMillis how long a target is cold after its data centre came back, in milliseconds
  */
 public record PolicyDefinition(
         String name,
@@ -27,8 +26,7 @@
         int crashLimit,
         int crashHoldSeconds,
         double coldCallsPerSecond,
-        int dataCentreCostMillis,
-        int coldStartMillis)
+        int dataCentreCostMillis)
         implements ConfigurationObject {
 
     public static final double DEFAULT_RETRY_SHARE = 0.1;
@@ -40,7 +38,6 @@
     public static final int DEFAULT_CRASH_HOLD_SECONDS = 600;
     public static final double DEFAULT_COLD_CALLS_PER_SECOND = 0;
     public static final int DEFAULT_DATA_CENTRE_COST_MILLIS = 0;
-    public static final int DEFAULT_COLD_START_MILLIS = 0;
 
     /** Returns a policy with the given name and all defaults. */
     public static PolicyDefinition withDefaults(String name) {
@@ -54,7 +51,6 @@
                 DEFAULT_CRASH_LIMIT,
                 DEFAULT_CRASH_HOLD_SECONDS,
                 DEFAULT_COLD_CALLS_PER_SECOND,
-                DEFAULT_DATA_CENTRE_COST_MILLIS,
-                DEFAULT_COLD_START_MILLIS);
+                DEFAULT_DATA_CENTRE_COST_MILLIS);
     }
 }
--- a/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
@@ -61,7 +61,6 @@
                         defaults.crashLimit(),
                         defaults.crashHoldSeconds(),
                         36,
-                        0,
                         0);
         DefaultAdmissionController cold =
                 DefaultAdmissionController.create(
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -30,7 +30,6 @@
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.control.ControlPlane;
 import org.dogwoodwood.node.logging.EventLog;
-import org.dogwoodwood.node.logging.LogEvent;
 import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.peer.AttemptAnswer;
 import org.dogwoodwood.node.peer.CallHandler;
@@ -59,12 +58,13 @@
     private final TargetMonitor monitor;
     private final SuspectRequests suspects = new SuspectRequests();
     private final NodeMetrics metrics;
-    private final EventLog log;
+    private final AttemptLog attempts;
     private final Map<AttemptId, GuardedCall> calls = new HashMap<>();
     private final Promise<Void> idle = Promise.promise();
     private Consumer<String> serviceListener = service -> {};
     private Consumer<LoadReport> reportListener = report -> {};
     private boolean leaving;
+    private boolean dataCentreOut;
     private long reportSequence;
 
     private Guard(
@@ -83,7 +83,7 @@
         this.keys = Objects.requireNonNull(keys, "keys");
         this.protocol = Objects.requireNonNull(protocol, "protocol");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.log = Objects.requireNonNull(log, "log");
+        this.attempts = new AttemptLog(log, protocol);
         this.admission = new AdmissionHolder(control::routingTable);
         this.monitor =
                 new TargetMonitor(
@@ -357,41 +357,14 @@
         if (call.isKeyed()) {
             endKey(call, finished, nowNanos);
         }
-        finished.error().ifPresent(code -> onNoAnswer(call, finished, code, nowNanos));
+        if (finished.error().isPresent()) {
+            metrics.onGuardRefusal(finished.error().get());
+            attempts.write(call, finished, state(), admission.get(), nowNanos);
+        }
         call.answer(answer(finished));
         completeIfIdle();
     }
 
-    private void onNoAnswer(
-            GuardedCall call, FinishedCall finished, ErrorCode code, long nowNanos) {
-        metrics.onGuardRefusal(code);
-        AdmissionController current = admission.get();
-        log.write(
-                finished.outcome() == Outcome.NOT_RUN
-                        ? LogEvent.GUARD_REFUSED
-                        : LogEvent.GUARD_ENDED,
-                "request",
-                protocol.requestIdOf(call.frame()).orElseGet(() -> call.id().call().toString()),
-                "ingress",
-                call.id().call().ingress(),
-                "attempt",
-                call.id().attempt(),
-                "error",
-                code,
-                "state",
-                state(),
-                "in_flight",
-                current.inFlight(),
-                "queued",
-                current.queued(),
-                "limit",
-                current.limit(),
-                "slowdown",
-                current.slowdown(nowNanos),
-                "left_ms",
-                (call.description().deadlineNanos() - nowNanos) / NANOS_PER_MILLI);
-    }
-
     private void endKey(GuardedCall call, FinishedCall finished, long nowNanos) {
         IdempotencyRegistry owned = keys.get();
         if (finished.answer().isPresent()) {
@@ -421,6 +394,12 @@
     }
 
     private void tick() {
+        boolean out = control.routingTable().ownDataCentreOut();
+        if (dataCentreOut && !out) {
+            // A target that got no work for a while may have become cold.
+            monitor.assumeCold();
+        }
+        dataCentreOut = out;
         if (admission.get().queued() > 0) {
             pump(System.nanoTime());
         }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -157,6 +157,13 @@
         listener.onCrash();
     }
 
+    /** Takes the target for cold until it announces otherwise. */
+    void assumeCold() {
+        if (announcement != null) {
+            setConditions(true, draining);
+        }
+    }
+
     /** Takes in how a call ended. */
     void onCallEnded(TargetResult.Kind kind) {
         switch (kind) {
--- a/node/src/test/java/org/dogwoodwood/node/guard/AdmissionHolderTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AdmissionHolderTests.java
@@ -86,7 +86,6 @@
                         defaults.crashLimit(),
                         defaults.crashHoldSeconds(),
                         callsPerSecond,
-                        0,
                         0);
         return new RoutingTable(
                 new Configuration(
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
@@ -76,6 +76,17 @@
         assertThat(monitor.state()).isEqualTo(TargetState.DRAINING);
     }
 
+    /** Guards against full load on a target whose data centre comes back. */
+    @Test
+    void isColdAfterAReturnUntilTheTargetSaysOtherwise() {
+        monitor.onAnnouncement(announcement(false));
+        monitor.assumeCold();
+        assertThat(monitor.state()).isEqualTo(TargetState.COLD);
+
+        monitor.onAnnouncement(announcement(false));
+        assertThat(monitor.state()).isEqualTo(TargetState.WARM);
+    }
+
     private TargetAnnouncement announcement(boolean draining) {
         return new TargetAnnouncement(
                 "shop", address, 4, 9, 4, false, draining, Optional.of("i-1"), Optional.empty());
