Send a cancel again when its connection was silent or closed

Found while reading for the cause of GONE: a cancel went into a connection that carried nothing any more, and the target worked on for a caller who had left.

--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
@@ -2,6 +2,8 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,11 +37,16 @@
     private static final int MAX_RECONNECTS = 10;
     private static final double ROUND_TRIP_WEIGHT = 0.2;
 
+    // Longer than a silent connection stays unnoticed and a new one takes.
+    private static final long CANCEL_KEEP_NANOS = 2_000_000_000L;
+
     private final PeerPool pool;
     private final Endpoint endpoint;
     private final Map<AttemptId, PendingAttempt> pending = new LinkedHashMap<>();
     private final Map<Long, Promise<ControlFrame>> exchanges = new HashMap<>();
     private final Map<Long, ControlFrame> unsentExchanges = new LinkedHashMap<>();
+    // A cancel that went into a silent connection is sent again on the next one.
+    private final Deque<SentCancel> cancels = new ArrayDeque<>();
     private PeerLink link;
     private long nextRequestNumber = 1;
     private int reconnects;
@@ -66,8 +73,15 @@
 
     void cancel(AttemptId id) {
         PendingAttempt attempt = pending.remove(id);
-        if (attempt != null && attempt.isWritten() && link != null && link.isReady()) {
+        if (attempt == null || !attempt.isWritten()) {
+            return;
+        }
+        dropOldCancels();
+        cancels.add(new SentCancel(id, System.nanoTime()));
+        if (link != null && link.isReady()) {
             link.send(CancelFrame.of(id));
+        } else {
+            connect();
         }
     }
 
@@ -134,6 +148,8 @@
         if (restarted > 0) {
             pool.log().write(LogEvent.PEER_RESTARTED, "peer", endpoint, "calls", restarted);
         }
+        dropOldCancels();
+        cancels.forEach(cancel -> ready.send(CancelFrame.of(cancel.id())));
         List<ControlFrame> unsent = List.copyOf(unsentExchanges.values());
         unsentExchanges.clear();
         unsent.forEach(this::sendExchange);
@@ -183,7 +199,8 @@
         for (Long number : List.copyOf(exchanges.keySet())) {
             failExchange(number, "The connection to the peer broke.");
         }
-        boolean resume = false;
+        dropOldCancels();
+        boolean resume = !cancels.isEmpty();
         for (PendingAttempt attempt : List.copyOf(pending.values())) {
             if (!attempt.isWritten()) {
                 finish(attempt, AttemptAnswer.notRun(ErrorCode.NO_TARGET));
@@ -233,7 +250,7 @@
                         RECONNECT_MILLIS,
                         ignored -> {
                             reconnectScheduled = false;
-                            if (!pending.isEmpty()) {
+                            if (!pending.isEmpty() || !cancels.isEmpty()) {
                                 connect();
                             }
                         });
@@ -264,8 +281,18 @@
         }
     }
 
+    private void dropOldCancels() {
+        long nowNanos = System.nanoTime();
+        while (!cancels.isEmpty()
+                && nowNanos - cancels.getFirst().sentNanos() > CANCEL_KEEP_NANOS) {
+            cancels.removeFirst();
+        }
+    }
+
     private void finish(PendingAttempt attempt, AttemptAnswer answer) {
         pending.remove(attempt.frame().id());
         attempt.complete(answer);
     }
+
+    private record SentCancel(AttemptId id, long sentNanos) {}
 }
--- a/node/src/test/java/org/dogwoodwood/node/FailureTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/FailureTests.java
@@ -2,8 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.support.TestInstallation;
@@ -43,6 +47,25 @@
         assertThat(target.started()).isEqualTo(1);
     }
 
+    /** Guards against work that goes on for a caller who left while a connection was silent. */
+    @Test
+    void cancelsACallOverANewConnectionWhenTheOldOneIsSilent() throws IOException {
+        TestTarget target = installation.target();
+        TestNode guard = installation.guard("guard", target);
+        TestNode ingress = installation.ingress("ingress");
+        TestProxy proxy = TestProxy.start(installation.vertx(), guard.peerAddress());
+        installation.route(guard, proxy.address());
+        try (Socket caller =
+                new Socket(InetAddress.getLoopbackAddress(), ingress.node().callerPort())) {
+            String fields = "Host: a\r\nDogwoodwood-Timeout-Ms: 60000";
+            String request = "GET /services/shop/never HTTP/1.1\r\n" + fields + "\r\n\r\n";
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            Waiting.until("the call runs", () -> target.started() == 1);
+            proxy.silence();
+        }
+        Waiting.until("the target's exchange is aborted", () -> target.aborted() == 1);
+    }
+
     @Test
     void resumesACallThatStillRunsAfterTheConnectionWentSilent() {
         TestTarget target = installation.target();
