--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -32,6 +32,9 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final int SERVER_ERROR = 500;
 
+    // Round trips are a few milliseconds; a stall must not make the guard give up much too early.
+    private static final long MAX_RESERVED_NANOS = 10_000_000L;
+
     // One ordinary answer in this many is logged, which shows what normal looks like.
     private static final int SAMPLED_CALLS = 200;
 
@@ -148,7 +151,7 @@
     private void send(RouteTarget target, boolean mayQueue, long nowNanos) {
         int attempt = attemptsMade++;
         // The guard must give up first, so that its certain answer arrives before the deadline.
-        long roundTripNanos = ingress.sender().roundTripNanos(target);
+        long roundTripNanos = Math.min(MAX_RESERVED_NANOS, ingress.sender().roundTripNanos(target));
         long remainingNanos = request.deadlineNanos() - nowNanos - roundTripNanos;
         CallFrame frame =
                 new CallFrame(
