Divide the retries that may be saved among the nodes

Cause, found by reading: each node may save 20 retries for a service. After a quiet time 12 nodes could send 240 of them within ten seconds, beside the share of successes; the targets' owners allow about 60.

--- a/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
+++ b/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
@@ -72,4 +72,9 @@
     public List<RouteTarget> targetsOf(String service) {
         return targetsByService.getOrDefault(service, List.of());
     }
+
+    /** Returns the number of nodes that have a target, which is nearly all nodes. */
+    public int nodes() {
+        return targetsByService.values().stream().mapToInt(List::size).sum();
+    }
 }
--- a/core/src/test/java/org/dogwoodwood/core/retry/RetryTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/retry/RetryTests.java
@@ -31,6 +31,25 @@
         assertThat(retries).isBetween(90, 102);
     }
 
+    // After a quiet time, nodes that each spend all their savings multiply the load of a failing
+    // service.
+    @Test
+    void nodesDivideWhatTheSystemMaySave() {
+        int nodes = 12;
+        int retries = 0;
+        for (int node = 0; node < nodes; node++) {
+            RetryBudget one = RetryBudget.of(0.1);
+            one.setNodes(nodes);
+            for (int i = 0; i < 1_000; i++) {
+                one.onSuccess();
+            }
+            while (one.trySpend()) {
+                retries++;
+            }
+        }
+        assertThat(retries).isBetween(nodes, 60);
+    }
+
     // A busy guard is no failure: its calls must reach another target even without a budget.
     @Test
     void busyGuardsDoNotDrawOnTheBudget() {
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -91,6 +91,9 @@
         if (isSame(current, table) && nowNanos - builtNanos < CANDIDATES_KEEP_NANOS) {
             return;
         }
+        if (!isSame(current, table)) {
+            budget.setNodes(current.nodes());
+        }
         table = current;
         builtNanos = nowNanos;
         targets = current.targetsOf(service).stream().filter(RouteTarget::acceptsWork).toList();
