--- a/standins/src/main/java/org/dogwoodwood/standins/store/StandinStore.java
+++ b/standins/src/main/java/org/dogwoodwood/standins/store/StandinStore.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -31,6 +32,7 @@
     private volatile boolean down;
     private volatile boolean losesAnswers;
     private final AtomicInteger calls = new AtomicInteger();
+    private final List<Long> readWaits = new CopyOnWriteArrayList<>();
 
     private StandinStore(Vertx vertx) {
         this.vertx = vertx;
@@ -63,6 +65,11 @@
         return calls.get();
     }
 
+    /** Returns how long each read was ready to wait for a record, in milliseconds. */
+    public List<Long> readWaits() {
+        return List.copyOf(readWaits);
+    }
+
     /** Writes a record as the operator does; an empty value drops the key. */
     public synchronized void put(String topic, String key, String value) {
         topic(topic).append(key, Buffer.buffer(value));
@@ -94,6 +101,7 @@
             case "/dogwoodwood/log-read" -> {
                 long from = Long.parseLong(request.getParam("from"));
                 long waitMillis = Long.parseLong(request.getParam("waitMs", "0"));
+                readWaits.add(waitMillis);
                 read(request, topic, from, waitMillis);
             }
             default -> finish(request, 404, Buffer.buffer());
