Pause between reads of members, and trust an acknowledged announcement

Cause, found by reading: each announcement answers the waiting reads of all nodes, so that n nodes which start together make up to n * n calls of the store. Members also learn of each other by gossip, so a reader now pauses for 5 s on average after it saw records. An announcement that the log has acknowledged is not appended again while the reader pauses.

--- a/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
@@ -9,6 +9,8 @@
  * @param exchangeTimeoutMillis how long an exchange with a peer may take
  * @param pollWaitMillis how long a read of the log waits for a record; well below the lease of key
  *     owners, which a read that shows no record renews
+ * @param readPauseMillis the mean pause after a read of members that showed records; members learn
+ *     of each other by gossip as well, and one record would otherwise make each node read again
  * @param retryMillis the longest first delay after a failed request to the log
  * @param appendIntervalMillis the least time between two appends that are not urgent
  * @param appendSpreadMillis the time over which appends are spread after an outage
@@ -22,6 +24,7 @@
         long gossipIntervalMillis,
         long exchangeTimeoutMillis,
         long pollWaitMillis,
+        long readPauseMillis,
         long retryMillis,
         long appendIntervalMillis,
         long appendSpreadMillis,
@@ -38,6 +41,7 @@
                 250,
                 400,
                 2_000,
+                0,
                 1_000,
                 10_000,
                 60_000,
@@ -56,6 +60,7 @@
                 250,
                 400,
                 20_000,
+                5_000,
                 500,
                 1_000,
                 4_000,
@@ -71,6 +76,7 @@
                 gossipIntervalMillis,
                 exchangeTimeoutMillis,
                 pollWaitMillis,
+                readPauseMillis,
                 retryMillis,
                 appendIntervalMillis,
                 appendSpreadMillis,
--- a/node/src/main/java/org/dogwoodwood/node/control/LogAppender.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogAppender.java
@@ -66,12 +66,30 @@
      */
     void append(
             String key, String stream, String publicationId, LogRecord content, boolean urgent) {
+        append(key, stream, publicationId, content, urgent, () -> {});
+    }
+
+    /**
+     * Queues a record.
+     *
+     * @param onAppended is told when the log has acknowledged the record
+     */
+    void append(
+            String key,
+            String stream,
+            String publicationId,
+            LogRecord content,
+            boolean urgent,
+            Runnable onAppended) {
         Pending known = pending.get(key);
         if (known != null && known.publicationId.equals(publicationId)) {
             return;
         }
         byte[] data = LogRecordCodec.encode(content);
-        pending.put(key, new Pending(key, stream, content.subject(), publicationId, data, urgent));
+        pending.put(
+                key,
+                new Pending(
+                        key, stream, content.subject(), publicationId, data, urgent, onAppended));
         schedule();
     }
 
@@ -130,6 +148,7 @@
         inFlight = false;
         appended++;
         pending.remove(entry.key, entry);
+        entry.onAppended.run();
         backoff.reset();
         earliestNanos = System.nanoTime() + times.appendIntervalMillis() * 1_000_000;
         schedule();
@@ -161,6 +180,7 @@
         private final String publicationId;
         private final byte[] data;
         private final boolean urgent;
+        private final Runnable onAppended;
 
         private Pending(
                 String key,
@@ -168,13 +188,15 @@
                 String subject,
                 String publicationId,
                 byte[] data,
-                boolean urgent) {
+                boolean urgent,
+                Runnable onAppended) {
             this.key = key;
             this.stream = stream;
             this.subject = subject;
             this.publicationId = publicationId;
             this.data = data;
             this.urgent = urgent;
+            this.onAppended = onAppended;
         }
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -23,6 +23,7 @@
     private final ControlTimes times;
     private final EntryListener listener;
     private final EventLog events;
+    private final RandomGenerator random;
     private final Backoff backoff;
     private final Set<String> recentIds = new LinkedHashSet<>();
     private long nextOffset;
@@ -63,6 +64,7 @@
         this.times = times;
         this.listener = listener;
         this.events = events;
+        this.random = random;
         this.backoff = new Backoff(times.retryMillis(), random);
     }
 
@@ -109,6 +111,7 @@
             return;
         }
         backoff.reset();
+        boolean pause = caughtUp && !batch.records().isEmpty() && times.readPauseMillis() > 0;
         batch.records().forEach(this::onRecord);
         nextOffset = Math.max(nextOffset, batch.nextOffset());
         caughtUp |= batch.records().isEmpty();
@@ -116,8 +119,18 @@
             listener.onEnd(sentNanos);
         }
         listener.onRead();
-        // A new task, so that a log that answers at once does not deepen the stack.
-        vertx.runOnContext(ignored -> readNext());
+        if (pause) {
+            vertx.setTimer(pauseMillis(), id -> readNext());
+        } else {
+            // A new task, so that a log that answers at once does not deepen the stack.
+            vertx.runOnContext(ignored -> readNext());
+        }
+    }
+
+    // Nodes that were answered together must not read together again.
+    private long pauseMillis() {
+        long mean = times.readPauseMillis();
+        return mean / 2 + 1 + random.nextLong(mean);
     }
 
     private void onRecord(PlatformLog.RawRecord raw) {
--- a/node/src/main/java/org/dogwoodwood/node/control/MembershipKeeper.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/MembershipKeeper.java
@@ -48,6 +48,7 @@
     private final Runnable orderListener;
     private final boolean keyedCalls;
     private final double renewalJitter;
+    private final long readPauseNanos;
     private final RegistrationList registrations = RegistrationList.create();
     private final Map<String, RecordedOrder> recordedOrders = new HashMap<>();
     private final Map<NodeId, Long> deadSinceMillis = new HashMap<>();
@@ -55,6 +56,8 @@
     private final List<LongConsumer> endListeners = new ArrayList<>();
     private final List<LongConsumer> expiryListeners = new ArrayList<>();
     private AnnouncementRecord pendingAnnouncement;
+    private Optional<AnnouncementRecord> appendedAnnouncement = Optional.empty();
+    private long appendedNanos;
     private long announcedAtMillis;
     private long sequence;
 
@@ -76,6 +79,7 @@
         this.rankOf = rankOf;
         this.orderListener = orderListener;
         this.keyedCalls = keyedCalls;
+        this.readPauseNanos = settings.times().readPauseMillis() * 1_000_000;
         this.renewalJitter = random.nextDouble() * RENEWAL_JITTER;
     }
 
@@ -158,7 +162,13 @@
         if (!appender.isPending(ANNOUNCEMENT_KEY) || !announcement.equals(pendingAnnouncement)) {
             pendingAnnouncement = announcement;
             String id = publicationId("announcement");
-            appender.append(ANNOUNCEMENT_KEY, LogStreams.MEMBERSHIP, id, announcement, false);
+            appender.append(
+                    ANNOUNCEMENT_KEY,
+                    LogStreams.MEMBERSHIP,
+                    id,
+                    announcement,
+                    false,
+                    () -> onAppended(announcement));
         }
     }
 
@@ -280,7 +290,21 @@
         }
     }
 
+    private void onAppended(AnnouncementRecord announcement) {
+        appendedAnnouncement = Optional.of(announcement);
+        appendedNanos = System.nanoTime();
+    }
+
+    /** Returns whether the log holds this announcement, which the next read will show. */
+    private boolean isAppended(Member self) {
+        return System.nanoTime() - appendedNanos < 3 * readPauseNanos
+                && appendedAnnouncement.equals(Optional.of(announcementOf(self)));
+    }
+
     private boolean isAnnounced(Member self, long nowMillis) {
+        if (isAppended(self)) {
+            return true;
+        }
         double renewAfter = settings.times().retentionMillis() * (2 / 3.0 + renewalJitter);
         return nowMillis - announcedAtMillis <= renewAfter
                 && registrations
--- a/node/src/test/java/org/dogwoodwood/node/control/ControlCluster.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/ControlCluster.java
@@ -42,6 +42,7 @@
                     250,
                     400,
                     2_000,
+                    0,
                     200,
                     1_000,
                     2_000,
