Use the whole grace time of a stop, and refuse requests shortly before its end

Cause, found by reading: calls in flight had 2 s from the moment at which callers had left, so a node could end 4.6 s after SIGTERM although it has 6 s. A request that callers send until the end was cut off. The limit now runs from SIGTERM to 0.5 s before SIGKILL, and the last 0.6 s refuse new requests.

--- a/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
+++ b/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
@@ -35,6 +35,7 @@
     KEY_REUSED(2015, 422, Outcome.NOT_RUN, "Use a new key for a different request."),
     TARGET_REFUSED(2016, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
     NO_CONFIGURATION(2017, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
+    NODE_STOPPING(2018, 503, Outcome.NOT_RUN, "Send the request to another node."),
 
     OUTCOME_UNKNOWN(3001, 502, Outcome.UNKNOWN, "Find out whether the request took effect."),
     DEADLINE_EXCEEDED(3002, 504, Outcome.UNKNOWN, "Find out whether the request took effect."),
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -37,6 +37,10 @@
 public final class Node {
 
     private static final long POLL_IDLE_MILLIS = 20;
+
+    // Longer than most calls take, so that a node that callers do not leave still ends idle.
+    private static final long REFUSE_NANOS = 600_000_000L;
+
     // Without the platform log keys cannot be handed over; the next owner then waits for the
     // window.
     private static final long HANDOVER_LIMIT_NANOS = 5_000_000_000L;
@@ -110,13 +114,15 @@
     public Future<Void> stop() {
         leaving = true;
         log.write(LogEvent.NODE_LEAVING, "node", identity.node());
-        long limitMillis = settings.budgets().stopSeconds() * 1_000L;
+        long limitMillis =
+                settings.budgets().leaveMillis() + settings.budgets().stopSeconds() * 1_000L;
+        long untilNanos = System.nanoTime() + limitMillis * 1_000_000L;
         return loop.run(this::leaveKeys)
                 .compose(ignored -> control.announceLeaving())
                 .recover(failure -> Future.succeededFuture())
                 .compose(ignored -> loop.run(this::leaveTraffic))
                 .compose(ignored -> delay(settings.budgets().leaveMillis()))
-                .compose(ignored -> awaitIdle(System.nanoTime() + limitMillis * 1_000_000L))
+                .compose(ignored -> awaitIdle(untilNanos))
                 .compose(ignored -> awaitHandover(System.nanoTime() + HANDOVER_LIMIT_NANOS))
                 .compose(ignored -> closeAll());
     }
@@ -346,7 +352,11 @@
                             if (pending == 0) {
                                 return Future.succeededFuture();
                             }
-                            if (System.nanoTime() - untilNanos > 0) {
+                            long leftNanos = untilNanos - System.nanoTime();
+                            if (leftNanos < REFUSE_NANOS) {
+                                loop.run(this::refuseRequests);
+                            }
+                            if (leftNanos < 0) {
                                 log.write(LogEvent.STOP_INCOMPLETE, "pending", pending);
                                 return Future.succeededFuture();
                             }
@@ -355,6 +365,11 @@
                         });
     }
 
+    private Future<Void> refuseRequests() {
+        ingressServer.refuse();
+        return Future.succeededFuture();
+    }
+
     private Future<Void> leaveKeys() {
         keys.ifPresent(KeyService::leave);
         return Future.succeededFuture();
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -45,6 +45,7 @@
             new IdentityHashMap<>();
     private int pending;
     private boolean leaving;
+    private boolean refusing;
 
     private IngressServer(
             Vertx vertx,
@@ -131,6 +132,11 @@
         return idle.future();
     }
 
+    /** Refuses new requests, which were not run, while those under way are still served. */
+    public void refuse() {
+        refusing = true;
+    }
+
     /** Closes the ports. */
     public Future<Void> stop() {
         return Future.all(servers.stream().map(HttpServer::close).toList()).mapEmpty();
@@ -150,6 +156,9 @@
         request.response().endHandler(ignored -> state.onClosed());
         if (early.isPresent()) {
             state.onStarted(early.get());
+        } else if (refusing) {
+            state.onRefused(
+                    new DogwoodwoodException(ErrorCode.NODE_STOPPING, "This node is stopping."));
         } else {
             reader.read(request).onSuccess(state::onRead).onFailure(state::onRefused);
         }
@@ -246,7 +255,7 @@
             metrics.onIngressError(code);
             boolean unread = !request.isEnded();
             boolean firstVersion = request.version() != HttpVersion.HTTP_2;
-            if (unread && firstVersion) {
+            if ((unread || refusing) && firstVersion) {
                 // The rest of the body would be taken for the next request.
                 request.response().putHeader("Connection", "close");
             }
--- a/node/src/test/java/org/dogwoodwood/node/GracefulStopTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/GracefulStopTests.java
@@ -76,6 +76,32 @@
         assertThat(call.join().statusCode()).isEqualTo(200);
     }
 
+    /** Guards against requests that are cut off since callers do not leave a node that stops. */
+    @Test
+    void refusesNewRequestsShortlyBeforeTheEnd() {
+        TestTarget target = installation.target();
+        TestNode guard = installation.guard("guard", target);
+        TestNode ingress = installation.ingress("ingress");
+        installation.route(guard);
+        target.setSlowMillis(200);
+        send(ingress, "/slow").join();
+
+        Future<Void> stopped = ingress.node().stop();
+        List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
+        while (calls.stream().noneMatch(GracefulStopTests::isRefused)) {
+            // Some requests are under way at any time, so that the node never finds itself idle.
+            calls.add(send(ingress, "/slow"));
+            Waiting.sleep(30);
+        }
+        Waiting.get(stopped);
+
+        assertThat(calls.stream().map(call -> call.join().statusCode())).containsOnly(200, 503);
+    }
+
+    private static boolean isRefused(CompletableFuture<HttpResponse<String>> call) {
+        return call.isDone() && call.join().statusCode() == 503;
+    }
+
     private CompletableFuture<HttpResponse<String>> send(TestNode ingress, String path) {
         HttpRequest request =
                 TestInstallation.request(ingress, path)
