Ping idle connections once a second, and push speeds only to peers that send calls

Cause, found by reading: each node holds a connection to each other node, pings it every 200 ms and gets each change of a target's speed over it, whether or not calls are under way. Pings now come every 200 ms only while calls, exchanges or cancels are under way and nothing is heard, and once a second otherwise; changes of speed go to peers with a call in the last 0.5 s. Detection of a silent connection with calls stays at 600 ms (FailureTests). Test: PeerProtocolTests.pingsAnIdleConnectionLessOftenThanABusyOne (10 pings in 2.1 s before).

--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
@@ -105,10 +105,14 @@
         return promise.future().onComplete(ignored -> pool.vertx().cancelTimer(timer));
     }
 
-    /** Opens a connection if there is none; its pings bring load reports. */
-    void keepOpen() {
+    /** Asks the peer for its load, over a new connection if there is none. */
+    void askForReport() {
         usedNanos = System.nanoTime();
-        connect();
+        if (link != null && link.isReady()) {
+            link.ping();
+        } else {
+            connect();
+        }
     }
 
     long roundTripNanos() {
@@ -153,6 +157,7 @@
         List<ControlFrame> unsent = List.copyOf(unsentExchanges.values());
         unsentExchanges.clear();
         unsent.forEach(this::sendExchange);
+        ready.ping();
     }
 
     @Override
@@ -193,6 +198,12 @@
         pool.onReport(report);
     }
 
+    @Override
+    public boolean isBusy() {
+        dropOldCancels();
+        return !pending.isEmpty() || !exchanges.isEmpty() || !cancels.isEmpty();
+    }
+
     @Override
     public void onClosed(PeerLink closed) {
         link = null;
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
@@ -33,6 +33,9 @@
 
         /** The link is closed or could not be opened. */
         void onClosed(PeerLink link);
+
+        /** Returns whether something is under way that must not wait for a silent connection. */
+        boolean isBusy();
     }
 
     private final Vertx vertx;
@@ -48,6 +51,8 @@
     private long pingSequence;
     private long pingSentNanos;
     private int missedPings;
+    private int quietTicks;
+    private boolean pingPending;
 
     PeerLink(
             Vertx vertx,
@@ -147,25 +152,46 @@
         }
         ready = true;
         vertx.cancelTimer(timer);
-        timer = vertx.setPeriodic(times.pingMillis(), ignored -> ping());
+        timer = vertx.setPeriodic(times.pingMillis(), ignored -> tick());
         log.write(LogEvent.PEER_CONNECTED, "peer", endpoint, "node", hello.node());
         owner.onReady(this, hello);
     }
 
-    private void ping() {
-        // Each tick counts at most one missed ping, so a pause of this process does not close
-        // connections whose pongs wait in the socket.
-        missedPings = connection.takeHeard() ? 0 : missedPings + 1;
-        if (missedPings >= times.missedPings()) {
-            log.write(LogEvent.PEER_SILENT, "peer", endpoint, "missed", missedPings);
-            close();
+    /** Asks the peer for its load at once. */
+    void ping() {
+        if (!isReady()) {
             return;
         }
+        quietTicks = 0;
+        pingPending = true;
         pingSequence++;
         pingSentNanos = System.nanoTime();
         connection.send(PingFrame.of(pingSequence));
     }
 
+    private void tick() {
+        boolean heard = connection.takeHeard();
+        quietTicks++;
+        if (heard) {
+            missedPings = 0;
+            pingPending = false;
+        } else if (pingPending) {
+            // Each tick counts at most one missed ping, so a pause of this process does not close
+            // connections whose pongs wait in the socket.
+            missedPings++;
+        }
+        if (missedPings >= times.missedPings()) {
+            log.write(LogEvent.PEER_SILENT, "peer", endpoint, "missed", missedPings);
+            close();
+            return;
+        }
+        boolean due = quietTicks >= times.idlePings();
+        // A peer that answers calls shows that the connection works.
+        if (due || pingPending || (owner.isBusy() && !heard)) {
+            ping();
+        }
+    }
+
     private void onPong(PongFrame pong) {
         if (pong.sequence() == pingSequence) {
             owner.onPong(System.nanoTime() - pingSentNanos, pong.report());
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerPool.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerPool.java
@@ -90,7 +90,7 @@
 
     @Override
     public void askForReport(RouteTarget target) {
-        channel(endpointOf(target)).keepOpen();
+        channel(endpointOf(target)).askForReport();
     }
 
     @Override
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
@@ -67,7 +67,7 @@
         calls = Objects.requireNonNull(handler, "handler");
     }
 
-    /** Tells all connected peers the load; must be called on the traffic loop. */
+    /** Tells the peers that send calls the load; must be called on the traffic loop. */
     public void pushReport(LoadReport report) {
         peers.forEach(peer -> peer.pushReport(report));
     }
--- a/node/src/main/java/org/dogwoodwood/node/peer/ServerPeer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/ServerPeer.java
@@ -3,7 +3,9 @@
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.dogwoodwood.codec.wire.AnswerFrame;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.codec.wire.CancelFrame;
@@ -23,7 +25,12 @@
 /** One connection that a peer has opened to this node. */
 final class ServerPeer implements FrameListener {
 
+    // A slow phase lasts about as long; a peer that sends no call has no use for each report.
+    private static final long RECENT_CALL_NANOS = 500_000_000L;
+
     private final PeerServer server;
+    private final Set<AttemptId> open = new HashSet<>();
+    private long calledNanos = System.nanoTime() - RECENT_CALL_NANOS;
     private FrameConnection connection;
     private boolean greeted;
     private int silentTicks;
@@ -54,9 +61,10 @@
         connection.send(frame);
     }
 
-    /** Sends a report that answers no ping. */
+    /** Sends a report that answers no ping, if the peer has sent a call recently. */
     void pushReport(LoadReport report) {
-        if (greeted) {
+        boolean interested = !open.isEmpty() || System.nanoTime() - calledNanos < RECENT_CALL_NANOS;
+        if (greeted && interested) {
             send(PongFrame.of(PongFrame.UNASKED, Optional.of(report)));
         }
     }
@@ -97,10 +105,13 @@
 
     private void dispatch(Frame frame) {
         if (frame instanceof CallFrame call) {
+            calledNanos = System.nanoTime();
+            open.add(call.id());
             server.calls().onCall(call, answer -> reply(call.id(), answer));
         } else if (frame instanceof PingFrame ping) {
             send(PongFrame.of(ping.sequence(), server.calls().report()));
         } else if (frame instanceof CancelFrame cancel) {
+            open.remove(cancel.id());
             server.calls().onCancel(cancel.id());
         } else if (frame instanceof ResumeFrame resume) {
             server.calls().onResume(resume, answer -> reply(resume.id(), answer));
@@ -112,6 +123,7 @@
     }
 
     private void reply(AttemptId id, AttemptAnswer answer) {
+        open.remove(id);
         try {
             send(AnswerFrame.of(id, answer.finished(), answer.report()));
         } catch (DogwoodwoodException e) {
--- a/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.dogwoodwood.codec.wire.AnswerFrame;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.codec.wire.ControlFrame;
@@ -25,6 +26,7 @@
 import org.dogwoodwood.codec.wire.FrameEncoder;
 import org.dogwoodwood.codec.wire.HelloFrame;
 import org.dogwoodwood.codec.wire.PingFrame;
+import org.dogwoodwood.codec.wire.PongFrame;
 import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.TargetAnswer;
@@ -111,6 +113,23 @@
         assertThat(installation.post(ingress, "/echo", "x").statusCode()).isEqualTo(200);
     }
 
+    /**
+     * Guards against connections without calls that cost as much as those with calls: with many
+     * nodes, most connections are idle.
+     */
+    @Test
+    void pingsAnIdleConnectionLessOftenThanABusyOne() {
+        AtomicInteger pings = new AtomicInteger();
+        Endpoint fake = fakeGuard((socket, call) -> answerTwice(socket, call), pings);
+        TestNode ingress = installation.ingress("ingress");
+        installation.route(route(fake));
+        installation.post(ingress, "/echo", "x");
+        int first = pings.get();
+        Waiting.sleep(2_100);
+
+        assertThat(pings.get() - first).isBetween(1, 3);
+    }
+
     @Test
     void refusesPeersWithoutTheSharedSecret() {
         installation.setSecret("right");
@@ -178,6 +197,10 @@
     }
 
     private Endpoint fakeGuard(CallListener listener) {
+        return fakeGuard(listener, new AtomicInteger());
+    }
+
+    private Endpoint fakeGuard(CallListener listener, AtomicInteger pings) {
         var server = installation.vertx().createNetServer();
         server.connectHandler(
                 socket -> {
@@ -189,10 +212,16 @@
                                     parser.fixedSizeMode(record.getInt(0));
                                 } else {
                                     parser.fixedSizeMode(4);
-                                    onFrame(
-                                            socket,
-                                            FrameDecoder.decode(record.getBytes()),
-                                            listener);
+                                    Frame frame = FrameDecoder.decode(record.getBytes());
+                                    if (frame instanceof PingFrame ping) {
+                                        pings.incrementAndGet();
+                                        socket.write(
+                                                encode(
+                                                        PongFrame.of(
+                                                                ping.sequence(),
+                                                                Optional.empty())));
+                                    }
+                                    onFrame(socket, frame, listener);
                                 }
                                 prefix[0] = !prefix[0];
                             });
