Trace a request through the logs of nodes, and log when the platform log is back

'dogwoodwood trace ID FILE...' joins the lines of all nodes by the request's id and names the cause in the last line.

--- a/cli/src/main/java/org/dogwoodwood/cli/Invocation.java
+++ b/cli/src/main/java/org/dogwoodwood/cli/Invocation.java
@@ -1,5 +1,6 @@
 package org.dogwoodwood.cli;
 
+import java.io.InputStream;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -52,6 +53,26 @@
         return operands;
     }
 
+    /**
+     * Returns the operands after checking that there are at least as many as names.
+     *
+     * @param names the names of the operands, for the message; the last one may be repeated
+     * @throws CommandException if there are fewer
+     */
+    public List<String> operandsFrom(String... names) {
+        return operands.size() > names.length ? operands : operands(names);
+    }
+
+    /** Returns a path, resolved against the working directory. */
+    public Path resolve(String path) {
+        return surroundings.directory().resolve(path);
+    }
+
+    /** Returns standard input. */
+    public InputStream input() {
+        return surroundings.in();
+    }
+
     /** Returns the only operand as a path, resolved against the working directory. */
     public Path directoryOperand() {
         return surroundings.directory().resolve(operands("DIR").get(0));
--- a/cli/src/main/java/org/dogwoodwood/cli/Surroundings.java
+++ b/cli/src/main/java/org/dogwoodwood/cli/Surroundings.java
@@ -1,5 +1,6 @@
 package org.dogwoodwood.cli;
 
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.Map;
@@ -7,13 +8,18 @@
 /**
  * What the tool gets from its process.
  *
+ * @param in standard input
  * @param out standard output
  * @param err standard error
  * @param environment the environment variables
  * @param directory the working directory
  */
 public record Surroundings(
-        PrintStream out, PrintStream err, Map<String, String> environment, Path directory) {
+        InputStream in,
+        PrintStream out,
+        PrintStream err,
+        Map<String, String> environment,
+        Path directory) {
 
     /** Copies the environment. */
     public Surroundings {
@@ -22,6 +28,6 @@
 
     /** Returns the surroundings of this process. */
     public static Surroundings ofProcess() {
-        return new Surroundings(System.out, System.err, System.getenv(), Path.of(""));
+        return new Surroundings(System.in, System.out, System.err, System.getenv(), Path.of(""));
     }
 }
--- a/cli/src/main/java/org/dogwoodwood/cli/ToolMain.java
+++ b/cli/src/main/java/org/dogwoodwood/cli/ToolMain.java
@@ -9,6 +9,7 @@
 import org.dogwoodwood.cli.command.PublishCommand;
 import org.dogwoodwood.cli.command.ShowCommand;
 import org.dogwoodwood.cli.command.StatusCommand;
+import org.dogwoodwood.cli.command.TraceCommand;
 
 /** The entry point of the operators' tool. */
 public final class ToolMain {
@@ -31,6 +32,7 @@
                 HistoryCommand.create(),
                 DataCentreCommand.create(),
                 StatusCommand.create(),
-                ExplainCommand.create());
+                ExplainCommand.create(),
+                TraceCommand.create());
     }
 }
--- a/cli/src/test/java/org/dogwoodwood/cli/ToolRun.java
+++ b/cli/src/test/java/org/dogwoodwood/cli/ToolRun.java
@@ -1,6 +1,7 @@
 package org.dogwoodwood.cli;
 
 import java.io.ByteArrayOutputStream;
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -10,10 +11,16 @@
 record ToolRun(ExitStatus status, String out, String err) {
 
     static ToolRun of(Path directory, Map<String, String> environment, String... arguments) {
+        return of(InputStream.nullInputStream(), directory, environment, arguments);
+    }
+
+    static ToolRun of(
+            InputStream in, Path directory, Map<String, String> environment, String... arguments) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
         Surroundings surroundings =
                 new Surroundings(
+                        in,
                         new PrintStream(out, true, StandardCharsets.UTF_8),
                         new PrintStream(err, true, StandardCharsets.UTF_8),
                         environment,
--- a/cli/src/test/java/org/dogwoodwood/cli/ToolTests.java
+++ b/cli/src/test/java/org/dogwoodwood/cli/ToolTests.java
@@ -37,6 +37,8 @@
                     status                          | Give --node HOST:PORT
                     show --settings absent.toml     | cannot be read
                     explain twelve                  | 'twelve' is not a number.
+                    trace 5ab                       | FILE is missing.
+                    trace 5ab absent.log            | cannot be read
                     explain 12                      | There is no error or event 12.
                     """)
     void namesTheRemedyOfWrongCommandLines(String line, String expected) {
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -110,6 +110,10 @@
         if (stopped) {
             return;
         }
+        if (backoff.failures() > 0) {
+            events.write(
+                    LogEvent.LOG_REACHABLE, "stream", stream, "offset", batch.nextOffset());
+        }
         backoff.reset();
         boolean pause = caughtUp && !batch.records().isEmpty() && times.readPauseMillis() > 0;
         batch.records().forEach(this::onRecord);
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -58,7 +58,8 @@
     RECORD_UNREADABLE(609, Severity.WARNING, "A record of the platform log is skipped."),
     APPEND_FAILED(610, Severity.WARNING, "An append failed and will be repeated."),
     LOG_STATE_ASSUMED(611, Severity.WARNING, "The version is taken from the first record."),
-    CONFIGURATION_DIFFERS(612, Severity.ERROR, "A peer has another document of a version.");
+    CONFIGURATION_DIFFERS(612, Severity.ERROR, "A peer has another document of a version."),
+    LOG_REACHABLE(613, Severity.INFO, "The platform log can be read again.");
 
     private static final int LINES_PER_SECOND = 10;
 
