Start waiting calls that can meet their latency objective first

Cause: a guard's queue was ordered by deadline. The objective of the route now travels with the call; calls that cannot meet it wait until no other call does, and calls without time for their work are refused as not run instead of being cut off half-way. Tests: DefaultAdmissionControllerTests.callsThatCanStillBeInTimeGoBeforeCallsThatAreLate, refusesWaitingCallsThatHaveNoTimeForTheirWork.

--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/micro/AdmissionBenchmark.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/micro/AdmissionBenchmark.java
@@ -57,6 +57,7 @@
                         0,
                         0,
                         nowNanos + TIMEOUT_NANOS,
+                        nowNanos + TIMEOUT_NANOS,
                         false);
         AdmissionDecision decision = controller.offer(call, nowNanos);
         nowNanos += SERVICE_NANOS;
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedIngress.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedIngress.java
@@ -140,6 +140,7 @@
                             call.number(),
                             0,
                             call.ingressDeadlineNanos(),
+                            call.ingressDeadlineNanos(),
                             mayQueue);
             world.measurements().onAttempt(call);
             balancing.onSent(node, world.events().nowNanos());
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/slopes/SyntheticSystem.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/slopes/SyntheticSystem.java
@@ -105,6 +105,7 @@
                 "default",
                 RequestContent.of("GET", "/spots/3121/conditions", headers, new byte[0]),
                 2_000,
+                500,
                 true,
                 Optional.empty(),
                 3,
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/CallFrame.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/CallFrame.java
@@ -14,6 +14,7 @@
  * @param callClass the class or tenant of the caller
  * @param request what the target receives
  * @param remainingMillis the time until the answer is due, in milliseconds
+ * @param objectiveMillis the time for which the answer keeps its full value, in milliseconds
  * @param idempotent whether the call may run more than once
  * @param key the caller's {@code Idempotency-Key}, if it gave one
  * @param depth how many services the call has passed through
@@ -27,6 +28,7 @@
         String callClass,
         RequestContent request,
         long remainingMillis,
+        long objectiveMillis,
         boolean idempotent,
         Optional<String> key,
         int depth,
@@ -36,6 +38,8 @@
 
     public static final int TYPE = 4;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     /** Checks that the references are present. */
     public CallFrame {
         Objects.requireNonNull(id, "id");
@@ -56,7 +60,8 @@
                 key,
                 fingerprint,
                 depth,
-                nowNanos + remainingMillis * 1_000_000L,
+                nowNanos + remainingMillis * NANOS_PER_MILLI,
+                nowNanos + Math.min(objectiveMillis, remainingMillis) * NANOS_PER_MILLI,
                 mayQueue);
     }
 
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
@@ -79,7 +79,7 @@
                 yield PongFrame.of(reader.readLong(), reader.readReport());
             }
             case CallFrame.TYPE -> {
-                checkElements(type, elements, 16);
+                checkElements(type, elements, 17);
                 yield readCall(reader);
             }
             case AnswerFrame.TYPE -> {
@@ -114,6 +114,7 @@
                         reader.readHeaders(),
                         reader.readBytes()),
                 reader.readRemainingMillis(),
+                reader.readRemainingMillis(),
                 reader.readBoolean(),
                 reader.readOptionalText(),
                 reader.readInt(),
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
@@ -77,7 +77,7 @@
     }
 
     private static void packCall(MessageBufferPacker packer, CallFrame call) throws IOException {
-        packer.packArrayHeader(16).packInt(CallFrame.TYPE);
+        packer.packArrayHeader(17).packInt(CallFrame.TYPE);
         packAttempt(packer, call.id());
         packer.packLong(call.expectedIncarnation());
         packText(packer, call.service());
@@ -86,7 +86,8 @@
         packText(packer, call.request().path());
         packHeaders(packer, call.request().headers());
         packBytes(packer, call.request().body());
-        packer.packLong(call.remainingMillis()).packBoolean(call.idempotent());
+        packer.packLong(call.remainingMillis()).packLong(call.objectiveMillis());
+        packer.packBoolean(call.idempotent());
         packOptionalText(packer, call.key());
         packer.packInt(call.depth()).packLong(call.fingerprint()).packBoolean(call.mayQueue());
     }
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/HelloFrame.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/HelloFrame.java
@@ -19,7 +19,7 @@
     public static final int TYPE = 1;
 
     /** The protocol version of this release. */
-    public static final int PROTOCOL_VERSION = 1;
+    public static final int PROTOCOL_VERSION = 2;
 
     /** Checks that the references are present. */
     public HelloFrame {
--- a/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
@@ -122,9 +122,10 @@
         RequestContent content = RequestContent.of("POST", "/p?q", HEADERS, new byte[] {1, 2});
         TargetAnswer answer = TargetAnswer.of(201, HEADERS, new byte[300]);
         Frame call =
-                new CallFrame(ID, 5, "s", "c", content, 900, false, Optional.of("k"), 2, -3, true);
+                new CallFrame(
+                        ID, 5, "s", "c", content, 900, 300, false, Optional.of("k"), 2, -3, true);
         Frame keyless =
-                new CallFrame(ID, 5, "s", "c", content, 0, true, Optional.empty(), 0, 3, false);
+                new CallFrame(ID, 5, "s", "c", content, 0, 0, true, Optional.empty(), 0, 3, false);
         Frame[] typed = {
             HelloFrame.of(NodeId.of("a"), 1, Optional.of("s")),
             HelloFrame.of(NodeId.of("a"), -1, Optional.empty()),
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -27,6 +27,9 @@
     /** Later attempts stay where they are, so that a call does not move about without end. */
     private static final int MAX_MOVABLE_ATTEMPT = 4;
 
+    /** The time of a short call, as a share of the mean; shorter ones are rare. */
+    private static final double SHORT_CALL_RATIO = 0.5;
+
     private static final double ERROR_WEIGHT = 0.05;
 
     private long queueLimitNanos;
@@ -111,15 +114,16 @@
         if (queue.size() == 0 || inFlight() >= limit() || !mayStartCold(nowNanos)) {
             return Optional.empty();
         }
-        expired.addAll(queue.removeDueBefore(nowNanos));
-        Optional<CallDescription> next = queue.poll();
+        removeHopeless(nowNanos);
+        Optional<CallDescription> next = queue.poll(nowNanos, (long) estimate.recentNanos());
         next.ifPresent(this::start);
         return next;
     }
 
     @Override
     public List<CallDescription> removeExpired(long nowNanos) {
-        expired.addAll(queue.removeDueBefore(nowNanos));
+        estimate.advance(inFlight(), nowNanos);
+        removeHopeless(nowNanos);
         List<CallDescription> removed = List.copyOf(expired);
         expired.clear();
         return removed;
@@ -234,6 +238,12 @@
                 : RETRY_WAIT_RATIO * queueLimitNanos;
     }
 
+    /** A call without time for its work would be given up half-way, and may have run then. */
+    private void removeHopeless(long nowNanos) {
+        long workNanos = (long) (SHORT_CALL_RATIO * estimate.recentNanos());
+        expired.addAll(queue.removeDueBefore(nowNanos + workNanos));
+    }
+
     private boolean isMovable(CallDescription call) {
         return estimate.isSlow() && call.attempt() < MAX_MOVABLE_ATTEMPT;
     }
--- a/core/src/main/java/org/dogwoodwood/core/model/CallDescription.java
+++ b/core/src/main/java/org/dogwoodwood/core/model/CallDescription.java
@@ -15,6 +15,8 @@
  * @param fingerprint hash of service, method, path and body
  * @param depth how many services the call has passed through, from 0
  * @param deadlineNanos when the answer is due, on the receiver's monotonic clock, in nanoseconds
+ * @param objectiveNanos until when the answer has its full value, at most the deadline, on the same
+ *     clock, in nanoseconds
  * @param mayQueue whether the guard may queue the call when no slot is free
  */
 public record CallDescription(
@@ -27,6 +29,7 @@
         long fingerprint,
         int depth,
         long deadlineNanos,
+        long objectiveNanos,
         boolean mayQueue) {
 
     /** Checks that the references are present. */
--- a/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
@@ -37,6 +37,37 @@
         assertThat(controller.inFlight()).isEqualTo(4);
     }
 
+    // In a burst, serving calls in the order of their deadlines makes each of them late.
+    @Test
+    void callsThatCanStillBeInTimeGoBeforeCallsThatAreLate() {
+        for (int i = 0; i < 4; i++) {
+            offer("gold", true);
+        }
+        CallDescription late = call("gold", true, DEADLINE, MILLI);
+        CallDescription punctual = call("gold", true, 2 * DEADLINE, DEADLINE / 2);
+        assertThat(controller.offer(late, now).kind()).isEqualTo(Kind.QUEUE);
+        assertThat(controller.offer(punctual, now).kind()).isEqualTo(Kind.QUEUE);
+        now += 5 * MILLI;
+        controller.onEnded(id(0), 0, 5 * MILLI, false, now);
+        controller.onEnded(id(1), 0, 5 * MILLI, false, now);
+
+        assertThat(controller.nextStartable(now)).contains(punctual);
+        assertThat(controller.nextStartable(now)).contains(late);
+    }
+
+    // A call that starts without time for its work is cut off, and its outcome is unknown.
+    @Test
+    void refusesWaitingCallsThatHaveNoTimeForTheirWork() {
+        for (int i = 0; i < 4; i++) {
+            offer("gold", true);
+        }
+        CallDescription hopeless = call("gold", true, 50 * MILLI);
+        assertThat(controller.offer(hopeless, now).kind()).isEqualTo(Kind.QUEUE);
+        now += 49 * MILLI;
+
+        assertThat(controller.removeExpired(now)).containsExactly(hopeless);
+    }
+
     // A target that accepts fewer connections than it has slots would refuse the surplus calls.
     @Test
     void connectionsBoundCallsInFlight() {
@@ -232,6 +263,11 @@
     }
 
     private CallDescription call(String callClass, boolean mayQueue, long deadline) {
+        return call(callClass, mayQueue, deadline, deadline);
+    }
+
+    private CallDescription call(
+            String callClass, boolean mayQueue, long deadline, long objective) {
         return new CallDescription(
                 id(counter++),
                 0,
@@ -242,6 +278,7 @@
                 0,
                 0,
                 deadline,
+                objective,
                 mayQueue);
     }
 
--- a/core/src/test/java/org/dogwoodwood/core/health/CrashFingerprintRegistryTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/health/CrashFingerprintRegistryTests.java
@@ -108,6 +108,7 @@
                 CULPRIT,
                 0,
                 HOLD,
+                HOLD,
                 true);
     }
 }
--- a/core/src/test/java/org/dogwoodwood/core/idempotency/KeyNode.java
+++ b/core/src/test/java/org/dogwoodwood/core/idempotency/KeyNode.java
@@ -80,6 +80,7 @@
                 fingerprint,
                 0,
                 Long.MAX_VALUE,
+                Long.MAX_VALUE,
                 true);
     }
 
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedIngress.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedIngress.java
@@ -178,6 +178,7 @@
                         request.fingerprint(),
                         0,
                         call.deadline,
+                        call.deadline,
                         mayQueue);
         CallMessage message = new CallMessage(description, guard.incarnation(), request);
         Attempt attempt = new Attempt(call, message, guard.node(), loop.now());
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -111,8 +111,7 @@
             return;
         }
         if (backoff.failures() > 0) {
-            events.write(
-                    LogEvent.LOG_REACHABLE, "stream", stream, "offset", batch.nextOffset());
+            events.write(LogEvent.LOG_REACHABLE, "stream", stream, "offset", batch.nextOffset());
         }
         backoff.reset();
         boolean pause = caughtUp && !batch.records().isEmpty() && times.readPauseMillis() > 0;
--- a/node/src/main/java/org/dogwoodwood/node/ingress/CallTerms.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/CallTerms.java
@@ -14,6 +14,7 @@
  * @param key the caller's {@code Idempotency-Key}, if it gave one
  * @param depth how many services the call has passed through
  * @param timeoutMillis the time until the answer is due, in milliseconds
+ * @param objectiveMillis the time for which the answer keeps its full value, in milliseconds
  * @param idempotent whether the call may run more than once
  * @param maxAttempts the most targets that the call may be sent to
  * @param path the path and query that the target receives
@@ -26,6 +27,7 @@
         Optional<String> key,
         int depth,
         long timeoutMillis,
+        long objectiveMillis,
         boolean idempotent,
         int maxAttempts,
         String path,
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -161,6 +161,7 @@
                         request.callClass(),
                         request.content(),
                         Math.max(1, remainingNanos / NANOS_PER_MILLI),
+                        objectiveMillis(nowNanos, roundTripNanos),
                         request.idempotent(),
                         request.key(),
                         request.depth(),
@@ -173,6 +174,12 @@
         ingress.sender().send(target, frame).onSuccess(answer -> onAnswer(sent, answer));
     }
 
+    /** Returns how long an answer of a guard keeps its full value for the caller. */
+    private long objectiveMillis(long nowNanos, long roundTripNanos) {
+        long spentNanos = nowNanos - request.arrivedNanos() + roundTripNanos;
+        return Math.max(0, request.terms().objectiveMillis() - spentNanos / NANOS_PER_MILLI);
+    }
+
     private void onAnswer(OpenAttempt attempt, AttemptAnswer answer) {
         long nowNanos = System.nanoTime();
         answer.report().ifPresent(report -> state.onReport(report, nowNanos));
--- a/node/src/test/java/org/dogwoodwood/node/guard/AdmissionHolderTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AdmissionHolderTests.java
@@ -67,6 +67,7 @@
                         0,
                         0,
                         nowNanos + 2_000_000_000L,
+                        nowNanos + 2_000_000_000L,
                         true);
         return holder.get().offer(call, nowNanos).kind();
     }
