--- a/node/src/main/java/org/dogwoodwood/node/control/Backoff.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/Backoff.java
@@ -6,7 +6,7 @@
  * Random delays whose upper bound doubles with each failure, so that many nodes that fail together
  * do not try again together; used by one thread.
  */
-final class Backoff {
+public final class Backoff {
 
     private static final int MAX_DOUBLINGS = 20;
 
@@ -14,31 +14,41 @@
     private final RandomGenerator random;
     private int failures;
 
-    Backoff(long baseMillis, RandomGenerator random) {
+    private Backoff(long baseMillis, RandomGenerator random) {
         this.baseMillis = baseMillis;
         this.random = random;
     }
 
+    /**
+     * Returns delays that have seen no failure.
+     *
+     * @param baseMillis the longest first delay, in milliseconds
+     * @param random the source of randomness, not null
+     */
+    public static Backoff create(long baseMillis, RandomGenerator random) {
+        return new Backoff(baseMillis, random);
+    }
+
     /** Returns the delay after one more failure, at least 1 ms and at most a bound. */
-    long nextDelayMillis(long maxMillis) {
+    public long nextDelayMillis(long maxMillis) {
         long bound = Math.min(maxMillis, baseMillis << Math.min(failures, MAX_DOUBLINGS));
         failures++;
         return 1 + random.nextLong(Math.max(1, bound));
     }
 
     /** Returns the delay after one more failure, at random over the whole of a bound. */
-    long nextDelayOver(long boundMillis) {
+    public long nextDelayOver(long boundMillis) {
         failures++;
         return 1 + random.nextLong(Math.max(1, boundMillis));
     }
 
     /** Starts again with the shortest delay. */
-    void reset() {
+    public void reset() {
         failures = 0;
     }
 
     /** Returns the number of failures since the last success. */
-    int failures() {
+    public int failures() {
         return failures;
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
@@ -57,7 +57,7 @@
      */
     public static ControlTimes forKeptLog() {
         return new ControlTimes(
-                250,
+                500,
                 400,
                 20_000,
                 5_000,
--- a/node/src/main/java/org/dogwoodwood/node/control/LogAppender.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogAppender.java
@@ -52,7 +52,7 @@
         this.times = times;
         this.members = members;
         this.events = events;
-        this.backoff = new Backoff(times.retryMillis(), random);
+        this.backoff = Backoff.create(times.retryMillis(), random);
     }
 
     /**
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -65,7 +65,7 @@
         this.listener = listener;
         this.events = events;
         this.random = random;
-        this.backoff = new Backoff(times.retryMillis(), random);
+        this.backoff = Backoff.create(times.retryMillis(), random);
     }
 
     @Override
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
@@ -124,6 +124,13 @@
         return pending.isEmpty() && exchanges.isEmpty() && nowNanos - usedNanos > idleNanos;
     }
 
+    /** Takes in that the time between two pings has passed. */
+    void tick() {
+        if (link != null) {
+            link.tick();
+        }
+    }
+
     void close() {
         if (link != null) {
             link.close();
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
@@ -152,7 +152,6 @@
         }
         ready = true;
         vertx.cancelTimer(timer);
-        timer = vertx.setPeriodic(times.pingMillis(), ignored -> tick());
         log.write(LogEvent.PEER_CONNECTED, "peer", endpoint, "node", hello.node());
         owner.onReady(this, hello);
     }
@@ -169,7 +168,11 @@
         connection.send(PingFrame.of(pingSequence));
     }
 
-    private void tick() {
+    /** Takes in that the time between two pings has passed. */
+    void tick() {
+        if (!isReady()) {
+            return;
+        }
         boolean heard = connection.takeHeard();
         quietTicks++;
         if (heard) {
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerPool.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerPool.java
@@ -61,7 +61,11 @@
             Vertx vertx, Context context, PeerIdentity identity, PeerTimes times, EventLog log) {
         PeerPool pool = new PeerPool(vertx, context, identity, times, log);
         context.runOnContext(
-                ignored -> vertx.setPeriodic(CLEAN_UP_MILLIS, timer -> pool.closeIdle()));
+                ignored -> {
+                    vertx.setPeriodic(CLEAN_UP_MILLIS, timer -> pool.closeIdle());
+                    // One timer for all connections wakes the process less often than one for each.
+                    vertx.setPeriodic(times.pingMillis(), timer -> pool.tick());
+                });
         return pool;
     }
 
@@ -161,6 +165,10 @@
         return channels.computeIfAbsent(endpoint, key -> new PeerChannel(this, key));
     }
 
+    private void tick() {
+        List.copyOf(channels.values()).forEach(PeerChannel::tick);
+    }
+
     private void closeIdle() {
         long nowNanos = System.nanoTime();
         long idleNanos = times.idleMillis() * 1_000_000L;
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerTimes.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerTimes.java
@@ -12,11 +12,11 @@
 public record PeerTimes(
         int pingMillis, int idlePings, int missedPings, int connectMillis, int idleMillis) {
 
-    /** The times of the design: silent after 3 pings, 200 ms apart; one a second when idle. */
-    public static final PeerTimes DEFAULT = new PeerTimes(200, 5, 3, 500, 10_000);
+    /** The times of the design: silent after 3 pings, 200 ms apart; every 2 s when idle. */
+    public static final PeerTimes DEFAULT = new PeerTimes(200, 10, 3, 500, 10_000);
 
     /** Returns how long a server keeps a connection on which nothing arrives, in milliseconds. */
     int serverSilenceMillis() {
-        return 4 * pingMillis * missedPings;
+        return pingMillis * (2 * idlePings + missedPings);
     }
 }
