Hold calls while their target is in a short slow phase, and ask for old speeds

A guard now asks a target whose speed it has not heard for 30 ms before it starts a call, holds calls in a slow phase of up to 300 ms, and polls every 40 ms until the phase ends; polls without need are gone. A refused hedge is tried again. Tests: DefaultAdmissionControllerTests.holdsCallsDuringAShortSlowPhase, startsCallsOfATargetThatStaysSlow.

--- a/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
+++ b/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
@@ -21,7 +21,7 @@
     OVERLOADED(2001, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
     CLASS_LIMIT(2002, 429, Outcome.NOT_RUN, "Send fewer requests of this class at a time."),
     NO_TARGET(2003, 503, Outcome.NOT_RUN, "Check with 'dogwoodwood status' that targets are up."),
-    DEADLINE_TOO_SHORT(2004, 504, Outcome.NOT_RUN, "Allow more time for the request."),
+    DEADLINE_TOO_SHORT(2004, 503, Outcome.NOT_RUN, "Allow more time for the request."),
     TARGET_DRAINING(2005, 503, Outcome.NOT_RUN, "Send the request again."),
     DATA_CENTRE_OUT(2006, 503, Outcome.NOT_RUN, "Return a data centre of this service."),
     LEASE_LAPSED(2007, 503, Outcome.NOT_RUN, "Send the request again."),
--- a/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
@@ -98,6 +98,15 @@
         return 0;
     }
 
+    /**
+     * Returns whether queued calls wait for the end of a slow phase of the target.
+     *
+     * @param nowNanos the present time in nanoseconds
+     */
+    default boolean isHolding(long nowNanos) {
+        return false;
+    }
+
     /**
      * Takes in another policy or other classes; calls in flight and in the queue are kept.
      *
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -86,7 +86,8 @@
             return AdmissionDecision.refuse(ErrorCode.CLASS_LIMIT);
         }
         int startLimit = call.mayQueue() ? limit() : preferredLimit(nowNanos);
-        if (queue.size() == 0 && inFlight() < startLimit && mayStartCold(nowNanos)) {
+        boolean free = queue.size() == 0 && inFlight() < startLimit && !isHolding(nowNanos);
+        if (free && mayStartCold(nowNanos)) {
             start(call);
             return AdmissionDecision.start();
         }
@@ -111,7 +112,8 @@
     @Override
     public Optional<CallDescription> nextStartable(long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        if (queue.size() == 0 || inFlight() >= limit() || !mayStartCold(nowNanos)) {
+        boolean free = inFlight() < limit() && !isHolding(nowNanos);
+        if (queue.size() == 0 || !free || !mayStartCold(nowNanos)) {
             return Optional.empty();
         }
         removeHopeless(nowNanos);
@@ -210,6 +212,11 @@
         return speed.slowdown(nowNanos);
     }
 
+    @Override
+    public boolean isHolding(long nowNanos) {
+        return speed.isInSlowPhase(nowNanos);
+    }
+
     @Override
     public double errorRatio() {
         return errorRatio;
--- a/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
@@ -8,12 +8,22 @@
 
     private static final double MEAN_WEIGHT = 0.01;
 
+    /** Below this slowdown, a call that starts at once ends sooner than one that waits. */
+    private static final double HOLD_RATIO = 3.0;
+
+    /** Slow phases caused by neighbours end within this time; slower targets stay slow. */
+    private static final long MAX_PHASE_NANOS = 300_000_000L;
+
     private double slowdown;
     private double mean = 1;
     private long toldNanos;
+    private long slowSinceNanos;
 
     /** Takes in a speed. */
     void onSlowdown(double told, long nowNanos) {
+        if (told >= HOLD_RATIO && slowdown(nowNanos) < HOLD_RATIO) {
+            slowSinceNanos = nowNanos;
+        }
         slowdown = told;
         toldNanos = nowNanos;
         mean += MEAN_WEIGHT * (told - mean);
@@ -24,6 +34,14 @@
         return slowdown > 0 && nowNanos - toldNanos <= VALID_NANOS ? slowdown : 0;
     }
 
+    /**
+     * Returns whether the target is in a slow phase that is likely to end soon. Work that starts in
+     * it takes several times as long, also after its end.
+     */
+    boolean isInSlowPhase(long nowNanos) {
+        return slowdown(nowNanos) >= HOLD_RATIO && nowNanos - slowSinceNanos < MAX_PHASE_NANOS;
+    }
+
     /** Returns the mean of what was told, which the mean service time contains. */
     double mean() {
         return mean;
--- a/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
@@ -68,6 +68,35 @@
         assertThat(controller.removeExpired(now)).containsExactly(hopeless);
     }
 
+    // Work that starts in a slow phase caused by a neighbour takes several times as long, also
+    // after
+    // the phase: a call that starts 100 ms later ends earlier.
+    @Test
+    void holdsCallsDuringAShortSlowPhase() {
+        controller.onSlowdown(7.0, now);
+        assertThat(offer("gold", false).refusal()).contains(ErrorCode.GUARD_BUSY);
+        CallDescription held = call("gold", true, DEADLINE);
+        assertThat(controller.offer(held, now).kind()).isEqualTo(Kind.QUEUE);
+        assertThat(controller.nextStartable(now)).isEmpty();
+        now += 50 * MILLI;
+        controller.onSlowdown(1.0, now);
+
+        assertThat(controller.nextStartable(now)).contains(held);
+    }
+
+    // A target that stays slow is still capacity; holding its calls until their deadline loses
+    // them.
+    @Test
+    void startsCallsOfATargetThatStaysSlow() {
+        for (int i = 0; i < 8; i++) {
+            controller.onSlowdown(7.0, now);
+            now += 50 * MILLI;
+        }
+        controller.onSlowdown(7.0, now);
+
+        assertThat(offer("gold", true).kind()).isEqualTo(Kind.START);
+    }
+
     // A target that accepts fewer connections than it has slots would refuse the surplus calls.
     @Test
     void connectionsBoundCallsInFlight() {
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -43,6 +44,15 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final int QUEUE_TICK_MILLIS = 5;
+    private static final int ORDER_TICK_MILLIS = 100;
+
+    // Work that starts in a slow phase of the target stays slow, so an older speed is asked for.
+    private static final long FRESH_SPEED_NANOS = 30_000_000L;
+    private static final long HELD_SPEED_NANOS = 20_000_000L;
+
+    // Peers avoid a target that told them of a slow phase until they hear of its end.
+    private static final int SLOW_POLL_MILLIS = 40;
+    private static final int STILL_SLOW_POLL_MILLIS = 200;
 
     // Senders are told at once when the target's time passes this multiple of the usual one.
     private static final double SLOW_RATIO = 1.5;
@@ -60,11 +70,16 @@
     private final NodeMetrics metrics;
     private final AttemptLog attempts;
     private final Map<AttemptId, GuardedCall> calls = new HashMap<>();
+    // Calls that wait until the target has told its speed.
+    private final Set<GuardedCall> unoffered = new LinkedHashSet<>();
     private final Promise<Void> idle = Promise.promise();
     private Consumer<String> serviceListener = service -> {};
     private Consumer<LoadReport> reportListener = report -> {};
     private boolean leaving;
     private boolean dataCentreOut;
+    private long unofferedSinceNanos;
+    private boolean tickScheduled;
+    private boolean slowPollScheduled;
     private long reportSequence;
 
     private Guard(
@@ -112,7 +127,7 @@
     /** Starts to watch the target; must be called on the traffic loop. */
     public void start() {
         monitor.start();
-        vertx.setPeriodic(QUEUE_TICK_MILLIS, ignored -> tick());
+        vertx.setPeriodic(ORDER_TICK_MILLIS, ignored -> checkOrder());
     }
 
     /** Sets who is told the service of the target; call it before {@link #start}. */
@@ -141,6 +156,7 @@
         leaving = true;
         for (GuardedCall call : List.copyOf(calls.values())) {
             if (!call.isAdmitted()) {
+                unoffered.remove(call);
                 admission.get().cancelQueued(call.id().call(), call.id().attempt());
                 end(call, FinishedCall.notRun(ErrorCode.TARGET_DRAINING));
             }
@@ -217,7 +233,8 @@
                     exchange.isSent()
                             ? FinishedCall.unknown(ErrorCode.OUTCOME_UNKNOWN)
                             : FinishedCall.notRun(ErrorCode.CANCELLED));
-        } else if (admission.get().cancelQueued(id.call(), id.attempt())) {
+        } else if (unoffered.remove(call)
+                || admission.get().cancelQueued(id.call(), id.attempt())) {
             end(call, FinishedCall.notRun(ErrorCode.CANCELLED));
         }
     }
@@ -268,13 +285,23 @@
         }
         GuardedCall call = new GuardedCall(frame, description, keyed, listener);
         calls.put(call.id(), call);
+        if (monitor.isSpeedOlderThan(FRESH_SPEED_NANOS, nowNanos) && monitor.ask()) {
+            unofferedSinceNanos = unoffered.isEmpty() ? nowNanos : unofferedSinceNanos;
+            unoffered.add(call);
+            scheduleTick();
+        } else {
+            offer(call, nowNanos);
+        }
+    }
+
+    private void offer(GuardedCall call, long nowNanos) {
+        CallDescription description = call.description();
         AdmissionDecision decision = admission.get().offer(description, nowNanos);
         switch (decision.kind()) {
             case START -> startNow(call, nowNanos);
             case REFUSE -> end(call, FinishedCall.notRun(decision.refusal().get()));
-            default -> {
-                // pump starts it when a slot is free, or tick ends it when its time is over.
-            }
+            // pump starts it when a slot is free, or tick ends it when its time is over.
+            default -> scheduleTick();
         }
     }
 
@@ -345,9 +372,23 @@
         boolean wasSlow = current.slowdown(nowNanos) >= SLOW_RATIO;
         current.onSlowdown(told.slowdown(), nowNanos);
         monitor.onCondition(nowNanos);
-        if (wasSlow != told.slowdown() >= SLOW_RATIO) {
+        boolean slow = told.slowdown() >= SLOW_RATIO;
+        if (wasSlow != slow) {
             report().ifPresent(reportListener);
         }
+        if (slow && !slowPollScheduled) {
+            slowPollScheduled = true;
+            int delayMillis =
+                    current.isHolding(nowNanos) ? SLOW_POLL_MILLIS : STILL_SLOW_POLL_MILLIS;
+            vertx.setTimer(delayMillis, ignored -> pollSlowTarget());
+        }
+    }
+
+    private void pollSlowTarget() {
+        slowPollScheduled = false;
+        if (monitor.isSpeedOlderThan(HELD_SPEED_NANOS, System.nanoTime())) {
+            monitor.ask();
+        }
     }
 
     private void end(GuardedCall call, FinishedCall finished) {
@@ -393,16 +434,54 @@
         }
     }
 
+    private void offerAll() {
+        List<GuardedCall> waiting = List.copyOf(unoffered);
+        unoffered.clear();
+        long nowNanos = System.nanoTime();
+        for (GuardedCall call : waiting) {
+            Optional<ErrorCode> refusal = startRefusal(call, nowNanos);
+            if (refusal.isPresent()) {
+                end(call, FinishedCall.notRun(refusal.get()));
+            } else {
+                offer(call, nowNanos);
+            }
+        }
+    }
+
+    private void scheduleTick() {
+        if (!tickScheduled) {
+            tickScheduled = true;
+            vertx.setTimer(QUEUE_TICK_MILLIS, ignored -> tick());
+        }
+    }
+
     private void tick() {
+        tickScheduled = false;
+        long nowNanos = System.nanoTime();
+        if (nowNanos - unofferedSinceNanos > FRESH_SPEED_NANOS) {
+            // The target does not answer polls; its calls are not delayed any longer.
+            offerAll();
+        }
+        AdmissionController current = admission.get();
+        if (current.queued() > 0) {
+            if (current.isHolding(nowNanos)
+                    && monitor.isSpeedOlderThan(HELD_SPEED_NANOS, nowNanos)) {
+                monitor.ask();
+            }
+            pump(nowNanos);
+        }
+        if (!unoffered.isEmpty() || current.queued() > 0) {
+            scheduleTick();
+        }
+    }
+
+    private void checkOrder() {
         boolean out = control.routingTable().ownDataCentreOut();
         if (dataCentreOut && !out) {
             // A target that got no work for a while may have become cold.
             monitor.assumeCold();
         }
         dataCentreOut = out;
-        if (admission.get().queued() > 0) {
-            pump(System.nanoTime());
-        }
     }
 
     private FinishedCall endOf(AttemptId id, CallState known) {
@@ -468,6 +547,12 @@
             Guard.this.onCondition(condition, System.nanoTime());
         }
 
+        @Override
+        public void onPolled() {
+            offerAll();
+            pump(System.nanoTime());
+        }
+
         @Override
         public void onCrash() {
             Set<Long> fingerprints = suspects.take(System.nanoTime());
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -30,6 +30,9 @@
         /** The target has told its load. */
         void onCondition(TargetCondition condition);
 
+        /** A poll has ended, whatever its result. */
+        void onPolled();
+
         /** The target has crashed or restarted without warning. */
         void onCrash();
     }
@@ -40,8 +43,8 @@
     // Three announcements at their usual distance of 1.5 s.
     private static final long SILENCE_NANOS = 4_500_000_000L;
 
-    // Slow phases last about half a second; an older condition hides a part of one.
-    private static final long CONDITION_NANOS = 100_000_000L;
+    // A target that gets no calls is still asked whether it lives.
+    private static final long IDLE_POLL_NANOS = 1_000_000_000L;
 
     private final Vertx vertx;
     private final TargetProtocol protocol;
@@ -62,6 +65,7 @@
     private int failedPolls;
     private long heardNanos = System.nanoTime();
     private long conditionNanos = System.nanoTime();
+    private boolean tellsSpeed;
     private long polls;
 
     TargetMonitor(
@@ -99,6 +103,7 @@
             }
             client = TargetClient.create(vertx, protocol, next.address(), next.connections());
             reportedIncarnation = Optional.empty();
+            tellsSpeed = false;
             pollPath = 0;
             goDown();
         } else if (restarted) {
@@ -184,6 +189,20 @@
     /** Takes in that the target has told its load beside an answer. */
     void onCondition(long nowNanos) {
         conditionNanos = nowNanos;
+        tellsSpeed = true;
+    }
+
+    /** Returns whether the target tells its speed, but has not done so for a time. */
+    boolean isSpeedOlderThan(long ageNanos, long nowNanos) {
+        return tellsSpeed && !draining && nowNanos - conditionNanos > ageNanos;
+    }
+
+    /** Polls the target now, within the budget; returns whether a poll is under way. */
+    boolean ask() {
+        if (client != null && !polling && budget.tryPoll(System.nanoTime())) {
+            poll();
+        }
+        return polling;
     }
 
     Optional<TargetAnnouncement> announcement() {
@@ -212,6 +231,10 @@
         if (client == null || polling || !needsPoll(nowNanos) || !budget.tryPoll(nowNanos)) {
             return;
         }
+        poll();
+    }
+
+    private void poll() {
         polling = true;
         polls++;
         TargetClient polled = client;
@@ -224,6 +247,7 @@
                             if (polled == client) {
                                 onPolled(path, result);
                             }
+                            listener.onPolled();
                         });
     }
 
@@ -236,7 +260,7 @@
             return false;
         }
         return state == TargetState.DOWN
-                || nowNanos - conditionNanos > CONDITION_NANOS
+                || nowNanos - conditionNanos > IDLE_POLL_NANOS
                 || nowNanos - heardNanos > SILENCE_NANOS;
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -58,6 +58,7 @@
     private int targetsReached;
     private long deadlineTimer = -1;
     private long hedgeTimer = -1;
+    private boolean startedSlow;
     private boolean ended;
 
     IngressCall(
@@ -209,6 +210,9 @@
         }
         if (open.isEmpty()) {
             retryOrEnd(attempt, finished, nowNanos);
+        } else if (open.size() == 1 && request.idempotent()) {
+            // A refused hedge leaves the first attempt as slow as it was.
+            hedgeAfter(SPEED_CHECK_NANOS);
         }
     }
 
@@ -271,6 +275,7 @@
 
     private void hedgeAfter(long delayNanos) {
         long delayMillis = Math.max(1, delayNanos / NANOS_PER_MILLI);
+        vertx.cancelTimer(hedgeTimer);
         hedgeTimer = vertx.setTimer(delayMillis, ignored -> hedge());
     }
 
@@ -282,7 +287,9 @@
         NodeId working = workingTarget();
         boolean told = state.tellsSpeed(working);
         long recheckNanos = told ? SPEED_CHECK_NANOS : state.hedges().recheckNanos();
-        if (!state.isSlow(working, nowNanos)) {
+        // Work that has started in a slow phase stays slow after its end.
+        startedSlow |= state.isSlow(working, nowNanos);
+        if (!startedSlow) {
             // A call whose own work is long gains nothing; the target may still become slow.
             hedgeAfter(recheckNanos);
             return;
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
@@ -94,6 +94,9 @@
 
     private static final class Ignoring implements TargetMonitor.Listener {
 
+        @Override
+        public void onPolled() {}
+
         @Override
         public void onCapacity(TargetCapacity capacity) {}
 
