--- a/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
@@ -37,7 +37,7 @@
 
     /**
      * Removes and returns the queued calls that should be sent elsewhere because the target has
-     * become slow; they were not run.
+     * become slow or because they have waited for long; they were not run.
      *
      * @param nowNanos the present time in nanoseconds
      */
--- a/core/src/main/java/org/dogwoodwood/core/admission/DeadlineQueue.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DeadlineQueue.java
@@ -37,14 +37,14 @@
         queues.forEach((name, queue) -> queue.weight = weightOf(name));
     }
 
-    void add(CallDescription call) {
+    void add(CallDescription call, long nowNanos) {
         ClassQueue queue =
                 queues.computeIfAbsent(call.callClass(), name -> new ClassQueue(weightOf(name)));
         if (queue.isEmpty()) {
             // A class that was idle must not save up its share.
             queue.served = Math.max(queue.served, virtualTime);
         }
-        queue.inTime.add(new Entry(call, sequence++));
+        queue.inTime.add(new Entry(call, sequence++, nowNanos));
         size++;
     }
 
@@ -118,11 +118,18 @@
         return calls.remove().call;
     }
 
-    /** Removes and returns the calls with an attempt number below the given one. */
-    List<CallDescription> removeAttemptsBelow(int attempt) {
+    /**
+     * Removes and returns the calls with an attempt number below the given one that have waited
+     * since the given time or longer.
+     */
+    List<CallDescription> removeAttemptsBelow(int attempt, long sinceNanos) {
         List<CallDescription> removed = new ArrayList<>();
         for (ClassQueue queue : queues.values()) {
-            queue.removeIf(entry -> entry.call.attempt() < attempt && removed.add(entry.call));
+            queue.removeIf(
+                    entry ->
+                            entry.call.attempt() < attempt
+                                    && entry.queuedNanos - sinceNanos <= 0
+                                    && removed.add(entry.call));
         }
         size -= removed.size();
         return removed;
@@ -174,7 +181,7 @@
     }
 
     /** A waiting call; the sequence keeps calls with equal times in order of arrival. */
-    private record Entry(CallDescription call, long sequence) {
+    private record Entry(CallDescription call, long sequence, long queuedNanos) {
 
         static final Comparator<Entry> BY_OBJECTIVE = by(CallDescription::objectiveNanos);
         static final Comparator<Entry> BY_DEADLINE = by(CallDescription::deadlineNanos);
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -30,6 +30,12 @@
     /** The time of a short call, as a share of the mean; shorter ones are rare. */
     private static final double SHORT_CALL_RATIO = 0.5;
 
+    /**
+     * A call that has waited for longer was placed by loads of which little is left; its ingress
+     * can place it anew.
+     */
+    private static final long STALE_CHOICE_NANOS = 60 * NANOS_PER_MILLI;
+
     private static final double ERROR_WEIGHT = 0.05;
 
     private long queueLimitNanos;
@@ -105,7 +111,7 @@
         if (waitNanos > remaining) {
             return AdmissionDecision.refuse(ErrorCode.DEADLINE_TOO_SHORT);
         }
-        queue.add(call);
+        queue.add(call, nowNanos);
         return AdmissionDecision.queue();
     }
 
@@ -134,7 +140,8 @@
     @Override
     public List<CallDescription> removeMovable(long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        return estimate.isSlow() ? queue.removeAttemptsBelow(MAX_MOVABLE_ATTEMPT) : List.of();
+        long sinceNanos = estimate.isSlow() ? nowNanos : nowNanos - STALE_CHOICE_NANOS;
+        return queue.removeAttemptsBelow(MAX_MOVABLE_ATTEMPT, sinceNanos);
     }
 
     @Override
--- a/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
@@ -55,6 +55,20 @@
         assertThat(controller.nextStartable(now)).contains(late);
     }
 
+    // Calls that stay behind a few long ones miss their deadline, while other targets have room.
+    @Test
+    void letsCallsThatHaveWaitedLongBePlacedAnew() {
+        for (int i = 0; i < 4; i++) {
+            offer("gold", true);
+        }
+        CallDescription waiting = call("gold", true, DEADLINE);
+        assertThat(controller.offer(waiting, now).kind()).isEqualTo(Kind.QUEUE);
+        assertThat(controller.removeMovable(now)).isEmpty();
+        now += 70 * MILLI;
+
+        assertThat(controller.removeMovable(now)).containsExactly(waiting);
+    }
+
     // A call that starts without time for its work is cut off, and its outcome is unknown.
     @Test
     void refusesWaitingCallsThatHaveNoTimeForTheirWork() {
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -17,6 +17,9 @@
     private static final int REMEMBERED_IDS = 10_000;
     private static final long MAX_BACKOFF_MILLIS = 5_000;
 
+    // All nodes announce themselves in the first seconds; later records are few.
+    private static final int MAX_PAUSE_DOUBLINGS = 3;
+
     private final Vertx vertx;
     private final PlatformLog log;
     private final String stream;
@@ -28,6 +31,7 @@
     private final Set<String> recentIds = new LinkedHashSet<>();
     private long nextOffset;
     private boolean caughtUp;
+    private int pauses;
     private boolean stopped;
     private long sentNanos;
 
@@ -132,7 +136,8 @@
 
     // Nodes that were answered together must not read together again.
     private long pauseMillis() {
-        long mean = times.readPauseMillis();
+        long mean = times.readPauseMillis() << Math.min(pauses, MAX_PAUSE_DOUBLINGS);
+        pauses++;
         return mean / 2 + 1 + random.nextLong(mean);
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -80,6 +80,7 @@
     private long unofferedSinceNanos;
     private boolean tickScheduled;
     private boolean slowPollScheduled;
+    private boolean startCheckScheduled;
     private long reportSequence;
 
     private Guard(
@@ -346,6 +347,24 @@
                                 remainingMillis,
                                 result -> onResult(call, result));
         call.onStarted(exchange);
+        checkSpeedSoon();
+    }
+
+    /** Finds out whether a slow phase had begun before the start, so that ingresses can hedge. */
+    private void checkSpeedSoon() {
+        if (startCheckScheduled) {
+            return;
+        }
+        startCheckScheduled = true;
+        vertx.setTimer(
+                FRESH_SPEED_NANOS / NANOS_PER_MILLI,
+                ignored -> {
+                    startCheckScheduled = false;
+                    boolean working = admission.get().inFlight() > 0;
+                    if (working && monitor.isSpeedOlderThan(HELD_SPEED_NANOS, System.nanoTime())) {
+                        monitor.ask();
+                    }
+                });
     }
 
     private void onResult(GuardedCall call, TargetResult result) {
