Split the guard: watching speeds, keys and figures of services are classes of their own

No change of behaviour: the decisions moved as they were. IngressCall's log lines move to CallLog, and ConfigurationSource loses refresh, which had no implementation.

--- a/node/src/main/java/org/dogwoodwood/node/control/ConfigurationSource.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ConfigurationSource.java
@@ -38,7 +38,4 @@
 
     /** Returns the offset to read next. */
     long nextOffset();
-
-    /** Reads again, as a peer knows something later. */
-    default void refresh() {}
 }
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -283,9 +283,6 @@
     public void onMessage(GossipMessage message) {
         crashEvidence.merge(message.crashReports(), System.nanoTime());
         configuration.onMessage(message, configurationReader.isReachable());
-        if (message.configurationVersion() > configuration.configuration().version()) {
-            configurationReader.refresh();
-        }
         updateReadiness();
         schedulePublish();
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -21,13 +20,10 @@
 import org.dogwoodwood.core.calls.CallRegistry;
 import org.dogwoodwood.core.calls.CallState;
 import org.dogwoodwood.core.calls.FinishedCall;
-import org.dogwoodwood.core.configuration.ServiceDefinition;
 import org.dogwoodwood.core.idempotency.IdempotencyRegistry;
-import org.dogwoodwood.core.idempotency.KeyDecision;
 import org.dogwoodwood.core.measurement.MeasurementBudget;
 import org.dogwoodwood.core.model.CallDescription;
 import org.dogwoodwood.core.model.LoadReport;
-import org.dogwoodwood.core.model.Outcome;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.control.ControlPlane;
 import org.dogwoodwood.node.logging.EventLog;
@@ -46,14 +42,6 @@
     private static final int QUEUE_TICK_MILLIS = 5;
     private static final int ORDER_TICK_MILLIS = 100;
 
-    // Work that starts in a slow phase of the target stays slow, so an older speed is asked for.
-    private static final long FRESH_SPEED_NANOS = 30_000_000L;
-    private static final long HELD_SPEED_NANOS = 20_000_000L;
-
-    // Peers avoid a target that told them of a slow phase until they hear of its end.
-    private static final int SLOW_POLL_MILLIS = 40;
-    private static final int STILL_SLOW_POLL_MILLIS = 200;
-
     // Senders are told at once when the target's time passes this multiple of the usual one.
     private static final double SLOW_RATIO = 1.5;
 
@@ -61,26 +49,23 @@
     private final PeerIdentity identity;
     private final ControlPlane control;
     private final StartChecks checks;
+    private final ServiceFigures services;
     private final TargetProtocol protocol;
-    private final Optional<IdempotencyRegistry> keys;
+    private final GuardedKeys keys;
     private final CallRegistry registry = CallRegistry.create();
     private final AdmissionHolder admission;
     private final TargetMonitor monitor;
+    private final SpeedWatch speeds;
     private final SuspectRequests suspects = new SuspectRequests();
     private final NodeMetrics metrics;
     private final AttemptLog attempts;
     private final Map<AttemptId, GuardedCall> calls = new HashMap<>();
-    // Calls that wait until the target has told its speed.
-    private final Set<GuardedCall> unoffered = new LinkedHashSet<>();
     private final Promise<Void> idle = Promise.promise();
     private Consumer<String> serviceListener = service -> {};
     private Consumer<LoadReport> reportListener = report -> {};
     private boolean leaving;
     private boolean dataCentreOut;
-    private long unofferedSinceNanos;
     private boolean tickScheduled;
-    private boolean slowPollScheduled;
-    private boolean startCheckScheduled;
     private long reportSequence;
 
     private Guard(
@@ -96,14 +81,16 @@
         this.identity = Objects.requireNonNull(identity, "identity");
         this.control = Objects.requireNonNull(control, "control");
         this.checks = new StartChecks(control::routingTable);
-        this.keys = Objects.requireNonNull(keys, "keys");
+        this.services = new ServiceFigures(control::routingTable);
+        this.keys = new GuardedKeys(keys);
         this.protocol = Objects.requireNonNull(protocol, "protocol");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.attempts = new AttemptLog(log, protocol);
         this.admission = new AdmissionHolder(control::routingTable);
         this.monitor =
                 new TargetMonitor(
-                        vertx, protocol, this::healthPathOf, budget, log, new TargetListener());
+                        vertx, protocol, services::healthPath, budget, log, new TargetListener());
+        this.speeds = new SpeedWatch(vertx, monitor, admission::get);
     }
 
     /**
@@ -157,7 +144,7 @@
         leaving = true;
         for (GuardedCall call : List.copyOf(calls.values())) {
             if (!call.isAdmitted()) {
-                unoffered.remove(call);
+                speeds.forget(call);
                 admission.get().cancelQueued(call.id().call(), call.id().attempt());
                 end(call, FinishedCall.notRun(ErrorCode.TARGET_DRAINING));
             }
@@ -234,8 +221,7 @@
                     exchange.isSent()
                             ? FinishedCall.unknown(ErrorCode.OUTCOME_UNKNOWN)
                             : FinishedCall.notRun(ErrorCode.CANCELLED));
-        } else if (unoffered.remove(call)
-                || admission.get().cancelQueued(id.call(), id.attempt())) {
+        } else if (speeds.forget(call) || admission.get().cancelQueued(id.call(), id.attempt())) {
             end(call, FinishedCall.notRun(ErrorCode.CANCELLED));
         }
     }
@@ -271,24 +257,15 @@
             end(refused, FinishedCall.notRun(refusal.get()));
             return;
         }
-        boolean keyed = keys.isPresent() && frame.key().isPresent() && !frame.idempotent();
-        if (keyed) {
-            KeyDecision decision = keys.get().begin(description, nowNanos);
-            if (decision.kind() != KeyDecision.Kind.RUN) {
-                GuardedCall unkeyed = new GuardedCall(frame, description, false, listener);
-                end(
-                        unkeyed,
-                        decision.answer()
-                                .map(FinishedCall::answered)
-                                .orElseGet(() -> FinishedCall.notRun(decision.refusal().get())));
-                return;
-            }
+        boolean keyed = keys.concern(frame);
+        Optional<FinishedCall> known = keyed ? keys.begin(description, nowNanos) : Optional.empty();
+        if (known.isPresent()) {
+            end(new GuardedCall(frame, description, false, listener), known.get());
+            return;
         }
         GuardedCall call = new GuardedCall(frame, description, keyed, listener);
         calls.put(call.id(), call);
-        if (monitor.isSpeedOlderThan(FRESH_SPEED_NANOS, nowNanos) && monitor.ask()) {
-            unofferedSinceNanos = unoffered.isEmpty() ? nowNanos : unofferedSinceNanos;
-            unoffered.add(call);
+        if (speeds.delays(call, nowNanos)) {
             scheduleTick();
         } else {
             offer(call, nowNanos);
@@ -309,11 +286,9 @@
     /** Repeats all checks, since anything may have changed while the call was queued. */
     private Optional<ErrorCode> startRefusal(GuardedCall call, long nowNanos) {
         Optional<ErrorCode> refusal = refusal(call.description(), nowNanos);
-        boolean keyLost =
-                refusal.isEmpty()
-                        && call.isKeyed()
-                        && !keys.get().mayStart(call.description(), nowNanos);
-        return keyLost ? Optional.of(ErrorCode.KEY_NOT_OWNED) : refusal;
+        return refusal.isEmpty() && call.isKeyed()
+                ? keys.startRefusal(call.description(), nowNanos)
+                : refusal;
     }
 
     private Optional<ErrorCode> refusal(CallDescription call, long nowNanos) {
@@ -343,28 +318,11 @@
                                         call.frame(),
                                         monitor.announcement().orElseThrow(),
                                         remainingMillis),
-                                maxAnswerBytes(call.frame().service()),
+                                services.maxAnswerBytes(call.frame().service()),
                                 remainingMillis,
                                 result -> onResult(call, result));
         call.onStarted(exchange);
-        checkSpeedSoon();
-    }
-
-    /** Finds out whether a slow phase had begun before the start, so that ingresses can hedge. */
-    private void checkSpeedSoon() {
-        if (startCheckScheduled) {
-            return;
-        }
-        startCheckScheduled = true;
-        vertx.setTimer(
-                FRESH_SPEED_NANOS / NANOS_PER_MILLI,
-                ignored -> {
-                    startCheckScheduled = false;
-                    boolean working = admission.get().inFlight() > 0;
-                    if (working && monitor.isSpeedOlderThan(HELD_SPEED_NANOS, System.nanoTime())) {
-                        monitor.ask();
-                    }
-                });
+        speeds.onStarted();
     }
 
     private void onResult(GuardedCall call, TargetResult result) {
@@ -395,18 +353,8 @@
         if (wasSlow != slow) {
             report().ifPresent(reportListener);
         }
-        if (slow && !slowPollScheduled) {
-            slowPollScheduled = true;
-            int delayMillis =
-                    current.isHolding(nowNanos) ? SLOW_POLL_MILLIS : STILL_SLOW_POLL_MILLIS;
-            vertx.setTimer(delayMillis, ignored -> pollSlowTarget());
-        }
-    }
-
-    private void pollSlowTarget() {
-        slowPollScheduled = false;
-        if (monitor.isSpeedOlderThan(HELD_SPEED_NANOS, System.nanoTime())) {
-            monitor.ask();
+        if (slow) {
+            speeds.onSlow(nowNanos);
         }
     }
 
@@ -415,7 +363,7 @@
         calls.remove(call.id());
         registry.finish(call.id(), finished, nowNanos);
         if (call.isKeyed()) {
-            endKey(call, finished, nowNanos);
+            keys.end(call.description(), finished, nowNanos);
         }
         if (finished.error().isPresent()) {
             metrics.onGuardRefusal(finished.error().get());
@@ -425,17 +373,6 @@
         completeIfIdle();
     }
 
-    private void endKey(GuardedCall call, FinishedCall finished, long nowNanos) {
-        IdempotencyRegistry owned = keys.get();
-        if (finished.answer().isPresent()) {
-            owned.complete(call.description(), finished.answer().get(), nowNanos);
-        } else if (finished.outcome() == Outcome.NOT_RUN) {
-            owned.abandon(call.description());
-        } else {
-            owned.leaveInDoubt(call.description(), nowNanos);
-        }
-    }
-
     private void pump(long nowNanos) {
         Optional<CallDescription> next = admission.get().nextStartable(nowNanos);
         while (next.isPresent()) {
@@ -454,10 +391,8 @@
     }
 
     private void offerAll() {
-        List<GuardedCall> waiting = List.copyOf(unoffered);
-        unoffered.clear();
         long nowNanos = System.nanoTime();
-        for (GuardedCall call : waiting) {
+        for (GuardedCall call : speeds.takeDelayed()) {
             Optional<ErrorCode> refusal = startRefusal(call, nowNanos);
             if (refusal.isPresent()) {
                 end(call, FinishedCall.notRun(refusal.get()));
@@ -477,19 +412,14 @@
     private void tick() {
         tickScheduled = false;
         long nowNanos = System.nanoTime();
-        if (nowNanos - unofferedSinceNanos > FRESH_SPEED_NANOS) {
-            // The target does not answer polls; its calls are not delayed any longer.
+        if (speeds.isOverdue(nowNanos)) {
             offerAll();
         }
-        AdmissionController current = admission.get();
-        if (current.queued() > 0) {
-            if (current.isHolding(nowNanos)
-                    && monitor.isSpeedOlderThan(HELD_SPEED_NANOS, nowNanos)) {
-                monitor.ask();
-            }
+        if (admission.get().queued() > 0) {
+            speeds.pollIfHolding(nowNanos);
             pump(nowNanos);
         }
-        if (!unoffered.isEmpty() || current.queued() > 0) {
+        if (speeds.isDelaying() || admission.get().queued() > 0) {
             scheduleTick();
         }
     }
@@ -515,20 +445,6 @@
         return AttemptAnswer.of(finished, report());
     }
 
-    private String healthPathOf(String service) {
-        ServiceDefinition definition =
-                control.routingTable().configuration().services().get(service);
-        return definition == null ? ServiceDefinition.DEFAULT_HEALTH_PATH : definition.healthPath();
-    }
-
-    private int maxAnswerBytes(String service) {
-        ServiceDefinition definition =
-                control.routingTable().configuration().services().get(service);
-        return definition == null
-                ? ServiceDefinition.DEFAULT_MAX_ANSWER_BYTES
-                : definition.maxAnswerBytes();
-    }
-
     private void completeIfIdle() {
         if (leaving && calls.isEmpty()) {
             idle.tryComplete();
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/CallLog.java
@@ -0,0 +1,129 @@
+package org.dogwoodwood.node.ingress;
+
+import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.calls.FinishedCall;
+import org.dogwoodwood.core.model.CallId;
+import org.dogwoodwood.core.model.NodeId;
+import org.dogwoodwood.core.model.Outcome;
+import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.logging.LogEvent;
+
+/** Logs the decisions of an ingress on one call, with what decided them. */
+final class CallLog {
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int SERVER_ERROR = 500;
+
+    // One ordinary answer in this many is logged, which shows what normal looks like.
+    private static final int SAMPLED_CALLS = 200;
+
+    private final EventLog log;
+    private final CallId id;
+    private final String service;
+    private final IngressRequest request;
+
+    CallLog(EventLog log, CallId id, String service, IngressRequest request) {
+        this.log = log;
+        this.id = id;
+        this.service = service;
+        this.request = request;
+    }
+
+    void onCancelled(int attempts) {
+        log.write(
+                LogEvent.CALL_CANCELLED,
+                "request",
+                requestId(),
+                "service",
+                service,
+                "attempts",
+                attempts,
+                "age_ms",
+                ageMillis());
+    }
+
+    void onRetried(int attempt, NodeId target, ErrorCode error) {
+        log.write(
+                LogEvent.CALL_RETRIED,
+                "request",
+                requestId(),
+                "service",
+                service,
+                "attempt",
+                attempt,
+                "target",
+                target,
+                "error",
+                error,
+                "age_ms",
+                ageMillis());
+    }
+
+    void onHedged(NodeId slowTarget, NodeId target) {
+        log.write(
+                LogEvent.CALL_HEDGED,
+                "request",
+                requestId(),
+                "slow_target",
+                slowTarget,
+                "target",
+                target,
+                "age_ms",
+                ageMillis());
+    }
+
+    /** Writes how the call ended; of ordinary answers only a sample. */
+    void onEnded(FinishedCall result, int attempts, int targets) {
+        if (result.error().isPresent()) {
+            onEndedWithoutAnswer(result, attempts, targets);
+            return;
+        }
+        int status = result.answer().orElseThrow().status();
+        boolean late = ageMillis() > request.terms().timeoutMillis() / 2;
+        if (status >= SERVER_ERROR || late || id.counter() % SAMPLED_CALLS == 0) {
+            log.write(
+                    LogEvent.CALL_ANSWERED,
+                    "request",
+                    requestId(),
+                    "service",
+                    service,
+                    "status",
+                    status,
+                    "attempts",
+                    attempts,
+                    "age_ms",
+                    ageMillis());
+        }
+    }
+
+    private void onEndedWithoutAnswer(FinishedCall result, int attempts, int targets) {
+        boolean refused = result.outcome() == Outcome.NOT_RUN;
+        log.write(
+                refused ? LogEvent.CALL_REFUSED : LogEvent.CALL_FAILED,
+                "request",
+                requestId(),
+                "service",
+                service,
+                "class",
+                request.callClass(),
+                "error",
+                result.error().orElseThrow(),
+                "attempts",
+                attempts,
+                "targets",
+                targets,
+                "limit_ms",
+                request.terms().timeoutMillis(),
+                "age_ms",
+                ageMillis());
+    }
+
+    private String requestId() {
+        String given = request.terms().requestId();
+        return given.isEmpty() ? id.toString() : given;
+    }
+
+    private long ageMillis() {
+        return (System.nanoTime() - request.arrivedNanos()) / NANOS_PER_MILLI;
+    }
+}
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -18,7 +18,6 @@
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.Outcome;
 import org.dogwoodwood.core.routing.RouteTarget;
-import org.dogwoodwood.node.logging.LogEvent;
 import org.dogwoodwood.node.peer.AttemptAnswer;
 
 /**
@@ -35,9 +34,6 @@
     // Round trips are a few milliseconds; a stall must not make the guard give up much too early.
     private static final long MAX_RESERVED_NANOS = 10_000_000L;
 
-    // One ordinary answer in this many is logged, which shows what normal looks like.
-    private static final int SAMPLED_CALLS = 200;
-
     // A small part of the time that calls take, so that a slow phase is answered early.
     private static final long SPEED_CHECK_NANOS = 25_000_000L;
 
@@ -48,6 +44,7 @@
     private final CallId id;
     private final long fingerprint;
     private final Consumer<FinishedCall> listener;
+    private final CallLog log;
     private final Map<Integer, OpenAttempt> open = new HashMap<>();
     private final Set<NodeId> excluded = new HashSet<>();
     // Guards that refused for other reasons than load, so that queueing there cannot help.
@@ -75,6 +72,7 @@
         this.id = id;
         this.fingerprint = request.fingerprint();
         this.listener = listener;
+        this.log = new CallLog(ingress.log(), id, state.service(), request);
     }
 
     void start() {
@@ -93,17 +91,7 @@
         if (!ended) {
             ended = true;
             cancelTimers();
-            ingress.log()
-                    .write(
-                            LogEvent.CALL_CANCELLED,
-                            "request",
-                            requestId(),
-                            "service",
-                            state.service(),
-                            "attempts",
-                            attemptsMade,
-                            "age_ms",
-                            millisSince(request.arrivedNanos(), System.nanoTime()));
+            log.onCancelled(attemptsMade);
             cancelOpen(AttemptResult.CANCELLED);
         }
     }
@@ -228,21 +216,10 @@
                                         request.deadlineNanos() - nowNanos);
         if (retry) {
             ingress.metrics().onRetry();
-            ingress.log()
-                    .write(
-                            LogEvent.CALL_RETRIED,
-                            "request",
-                            requestId(),
-                            "service",
-                            state.service(),
-                            "attempt",
-                            attempt.id().attempt(),
-                            "target",
-                            attempt.target().node(),
-                            "error",
-                            finished.error().orElseThrow(),
-                            "age_ms",
-                            millisSince(request.arrivedNanos(), nowNanos));
+            log.onRetried(
+                    attempt.id().attempt(),
+                    attempt.target().node(),
+                    finished.error().orElseThrow());
             if (finished.outcome() == Outcome.NOT_RUN) {
                 attemptsMade = state.retries().nextAttempt(attemptsMade, attempt.mayQueue());
             }
@@ -303,17 +280,7 @@
         }
         if (target.isPresent() && state.hedges().tryHedge()) {
             ingress.metrics().onHedge();
-            ingress.log()
-                    .write(
-                            LogEvent.CALL_HEDGED,
-                            "request",
-                            requestId(),
-                            "slow_target",
-                            working,
-                            "target",
-                            target.get().node(),
-                            "age_ms",
-                            millisSince(request.arrivedNanos(), nowNanos));
+            log.onHedged(working, target.get().node());
             send(target.get(), false, nowNanos);
         }
     }
@@ -343,64 +310,10 @@
         cancelOpen(AttemptResult.CANCELLED);
         boolean certain = finished.answer().isPresent() || mayHaveRun.isEmpty();
         FinishedCall result = certain ? finished : mayHaveRun.get();
-        logEnd(result);
+        log.onEnded(result, attemptsMade, state.candidateCount());
         listener.accept(result);
     }
 
-    private void logEnd(FinishedCall result) {
-        long ageMillis = millisSince(request.arrivedNanos(), System.nanoTime());
-        if (result.error().isPresent()) {
-            ingress.log()
-                    .write(
-                            result.outcome() == Outcome.NOT_RUN
-                                    ? LogEvent.CALL_REFUSED
-                                    : LogEvent.CALL_FAILED,
-                            "request",
-                            requestId(),
-                            "service",
-                            state.service(),
-                            "class",
-                            request.callClass(),
-                            "error",
-                            result.error().get(),
-                            "attempts",
-                            attemptsMade,
-                            "targets",
-                            state.candidateCount(),
-                            "limit_ms",
-                            request.terms().timeoutMillis(),
-                            "age_ms",
-                            ageMillis);
-            return;
-        }
-        int status = result.answer().orElseThrow().status();
-        boolean late = ageMillis > request.terms().timeoutMillis() / 2;
-        if (status >= SERVER_ERROR || late || id.counter() % SAMPLED_CALLS == 0) {
-            ingress.log()
-                    .write(
-                            LogEvent.CALL_ANSWERED,
-                            "request",
-                            requestId(),
-                            "service",
-                            state.service(),
-                            "status",
-                            status,
-                            "attempts",
-                            attemptsMade,
-                            "age_ms",
-                            ageMillis);
-        }
-    }
-
-    private String requestId() {
-        String given = request.terms().requestId();
-        return given.isEmpty() ? id.toString() : given;
-    }
-
-    private static long millisSince(long thenNanos, long nowNanos) {
-        return (nowNanos - thenNanos) / NANOS_PER_MILLI;
-    }
-
     private void cancelOpen(AttemptResult result) {
         long nowNanos = System.nanoTime();
         List<OpenAttempt> cancelled = List.copyOf(open.values());
