Gossip at once after a start, and read members sooner in the first seconds

A node now exchanges gossip every 100 ms in its first 2 s, and the pause between reads that show records starts at 0.5 s and doubles. Tests of SpeedWatch are added.

--- a/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
@@ -9,9 +9,9 @@
  * @param exchangeTimeoutMillis how long an exchange with a peer may take
  * @param pollWaitMillis how long a read of the log waits for a record; well below the lease of key
  *     owners, which a read that shows no record renews
- * @param readPauseMillis the mean first pause after a read that showed records, doubled three
- *     times; members learn of each other by gossip as well, and one record would otherwise make
- *     each node read again
+ * @param readPauseMillis the mean first pause after a read that showed records, doubled five times;
+ *     members learn of each other by gossip as well, and one record would otherwise make each node
+ *     read again
  * @param retryMillis the longest first delay after a failed request to the log
  * @param appendIntervalMillis the least time between two appends that are not urgent
  * @param appendSpreadMillis the time over which appends are spread after an outage
@@ -61,7 +61,7 @@
                 500,
                 400,
                 20_000,
-                2_500,
+                500,
                 2_000,
                 1_000,
                 4_000,
--- a/node/src/main/java/org/dogwoodwood/node/control/GossipExchanger.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/GossipExchanger.java
@@ -28,6 +28,10 @@
     private static final int SEED_ROUNDS = 40;
     private static final long EXTRA_ROUND_MILLIS = 50;
 
+    // Peers refuse or lose calls of a restarted node until they know its new incarnation.
+    private static final int START_ROUNDS = 20;
+    private static final int START_ROUND_MILLIS = 100;
+
     private final Vertx vertx;
     private final PeerTransport transport;
     private final ControlSettings settings;
@@ -71,6 +75,7 @@
     void start() {
         timer = vertx.setPeriodic(settings.times().gossipIntervalMillis(), id -> runRound());
         runRound();
+        startRound(START_ROUNDS);
     }
 
     void stop() {
@@ -123,6 +128,13 @@
                 .otherwise(pong(subject, false));
     }
 
+    private void startRound(int left) {
+        if (left > 0 && !stopped) {
+            exchangeWithContacts();
+            vertx.setTimer(START_ROUND_MILLIS, id -> startRound(left - 1));
+        }
+    }
+
     private void runRound() {
         table.tick(System.nanoTime());
         listener.onRound();
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -18,7 +18,7 @@
     private static final long MAX_BACKOFF_MILLIS = 5_000;
 
     // All nodes announce themselves in the first seconds; later records are few.
-    private static final int MAX_PAUSE_DOUBLINGS = 3;
+    private static final int MAX_PAUSE_DOUBLINGS = 5;
 
     private final Vertx vertx;
     private final PlatformLog log;
--- /dev/null
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SpeedWatchTests.java
@@ -0,0 +1,154 @@
+package org.dogwoodwood.node.guard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.dogwoodwood.codec.wire.CallFrame;
+import org.dogwoodwood.codec.wire.RequestContent;
+import org.dogwoodwood.core.admission.AdmissionController;
+import org.dogwoodwood.core.admission.DefaultAdmissionController;
+import org.dogwoodwood.core.admission.TargetCapacity;
+import org.dogwoodwood.core.calls.AttemptId;
+import org.dogwoodwood.core.configuration.PolicyDefinition;
+import org.dogwoodwood.core.measurement.MeasurementBudget;
+import org.dogwoodwood.core.model.CallId;
+import org.dogwoodwood.core.model.NodeId;
+import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.settings.Endpoint;
+import org.dogwoodwood.node.support.Waiting;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against calls that start in a slow phase of the target that the guard did not notice. */
+class SpeedWatchTests {
+
+    private static final long OLD_NANOS = 100_000_000L;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final AtomicInteger polls = new AtomicInteger();
+    private final AdmissionController admission =
+            DefaultAdmissionController.create(
+                    PolicyDefinition.withDefaults("default"),
+                    Map.of(),
+                    new TargetCapacity(4, 8, 4, false, 1),
+                    System.nanoTime());
+    private volatile boolean hangs;
+    private TargetMonitor monitor;
+    private SpeedWatch watch;
+
+    @BeforeEach
+    void start() {
+        HttpServer server =
+                vertx.createHttpServer()
+                        .requestHandler(
+                                request -> {
+                                    polls.incrementAndGet();
+                                    if (!hangs) {
+                                        request.response()
+                                                .putHeader(SelfAnnouncingProtocol.SLOWDOWN, "7.0")
+                                                .end("{}");
+                                    }
+                                });
+        int port = Waiting.get(server.listen(0, "127.0.0.1")).actualPort();
+        monitor =
+                new TargetMonitor(
+                        vertx,
+                        new SelfAnnouncingProtocol(),
+                        service -> "/health",
+                        MeasurementBudget.of(1_000, 0, System.nanoTime()),
+                        EventLog.create(),
+                        new TellingListener());
+        watch = new SpeedWatch(vertx, monitor, () -> admission);
+        monitor.onAnnouncement(
+                new TargetAnnouncement(
+                        "shop",
+                        Endpoint.of("127.0.0.1", port),
+                        4,
+                        9,
+                        4,
+                        false,
+                        false,
+                        Optional.of("i-1"),
+                        Optional.empty()));
+        monitor.onCondition(System.nanoTime());
+    }
+
+    @AfterEach
+    void stop() {
+        Waiting.get(vertx.close());
+    }
+
+    @Test
+    void startsACallAtOnceWhileTheSpeedIsFresh() {
+        assertThat(watch.delays(call(), System.nanoTime())).isFalse();
+        assertThat(polls.get()).isZero();
+    }
+
+    @Test
+    void asksForAnOldSpeedBeforeACallStarts() {
+        GuardedCall call = call();
+        long laterNanos = System.nanoTime() + OLD_NANOS;
+
+        assertThat(watch.delays(call, laterNanos)).isTrue();
+        Waiting.until("the target told that it is slow", () -> admission.isHolding(now()));
+        assertThat(polls.get()).isEqualTo(1);
+        assertThat(watch.takeDelayed()).containsExactly(call);
+    }
+
+    // A target whose health hangs may still work; its calls must not wait for the poll to fail.
+    @Test
+    void doesNotDelayCallsOfATargetThatDoesNotAnswerPolls() {
+        hangs = true;
+        long laterNanos = System.nanoTime() + OLD_NANOS;
+        watch.delays(call(), laterNanos);
+
+        assertThat(watch.isOverdue(laterNanos)).isFalse();
+        assertThat(watch.isOverdue(laterNanos + OLD_NANOS)).isTrue();
+    }
+
+    @Test
+    void forgetsACallWhoseCallerLeft() {
+        GuardedCall call = call();
+        watch.delays(call, System.nanoTime() + OLD_NANOS);
+
+        assertThat(watch.forget(call)).isTrue();
+        assertThat(watch.isDelaying()).isFalse();
+        assertThat(watch.forget(call)).isFalse();
+    }
+
+    private static long now() {
+        return System.nanoTime();
+    }
+
+    private static GuardedCall call() {
+        CallFrame frame =
+                new CallFrame(
+                        AttemptId.of(CallId.of(NodeId.of("ingress"), 1, 1), 0),
+                        1,
+                        "shop",
+                        "default",
+                        RequestContent.of("GET", "/", List.of(), new byte[0]),
+                        1_000,
+                        400,
+                        true,
+                        Optional.empty(),
+                        0,
+                        0,
+                        true);
+        return new GuardedCall(frame, frame.describe(now()), false, answer -> {});
+    }
+
+    private final class TellingListener extends IgnoringListener {
+
+        @Override
+        public void onCondition(TargetCondition condition) {
+            admission.onSlowdown(condition.slowdown(), System.nanoTime());
+        }
+    }
+}
