--- a/node/src/main/java/org/dogwoodwood/node/peer/ServerPeer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/ServerPeer.java
@@ -25,7 +25,8 @@
 /** One connection that a peer has opened to this node. */
 final class ServerPeer implements FrameListener {
 
-    // A slow phase lasts about as long; a peer that sends no call has no use for each report.
+    // A peer that sent a call within this time is likely to send the next one soon; the others have
+    // no use for each report.
     private static final long RECENT_CALL_NANOS = 500_000_000L;
 
     private final PeerServer server;
