--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -140,8 +140,13 @@
     @Override
     public List<CallDescription> removeMovable(long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        long sinceNanos = estimate.isSlow() ? nowNanos : nowNanos - STALE_CHOICE_NANOS;
-        return queue.removeAttemptsBelow(MAX_MOVABLE_ATTEMPT, sinceNanos);
+        if (estimate.isSlow()) {
+            return queue.removeAttemptsBelow(MAX_MOVABLE_ATTEMPT, nowNanos);
+        }
+        // Calls that started in a slow phase keep their slots long after a target has told its end.
+        return speed.isTold()
+                ? queue.removeAttemptsBelow(MAX_MOVABLE_ATTEMPT, nowNanos - STALE_CHOICE_NANOS)
+                : List.of();
     }
 
     @Override
--- a/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
@@ -29,6 +29,11 @@
         mean += MEAN_WEIGHT * (told - mean);
     }
 
+    /** Returns whether the target tells its speed. */
+    boolean isTold() {
+        return slowdown > 0;
+    }
+
     /** Returns the speed as a multiple of the usual time, or 0 if none was told recently. */
     double slowdown(long nowNanos) {
         return slowdown > 0 && nowNanos - toldNanos <= VALID_NANOS ? slowdown : 0;
--- a/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
@@ -58,6 +58,7 @@
     // Calls that stay behind a few long ones miss their deadline, while other targets have room.
     @Test
     void letsCallsThatHaveWaitedLongBePlacedAnew() {
+        controller.onSlowdown(1.0, now);
         for (int i = 0; i < 4; i++) {
             offer("gold", true);
         }
