Leave calls at work to the ingress until the caller's deadline

Callers got a 504 of the system up to 11 ms before their deadline while the target was still working. The ingress takes the round trip, up to 10 ms, off the time that it grants the guard and rounds it down to whole milliseconds, and the guard ended the exchange as soon as that time was over. An idempotent call that ended so was even sent again with the milliseconds that were left, and drew on the retry budget.

The guard still uses the granted time for calls that are queued or not sent. An exchange that was sent ends with the answer of the target, which keeps to the same time itself, or with the cancel of the ingress at the deadline. Only if neither comes, because the ingress is gone, the guard ends it 250 ms later. A cancel after the granted time counts as a failure of the target, as the end by the guard did.

--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -217,10 +217,7 @@
                 // The caller can repeat the request with its key and get the answer.
                 return;
             }
-            exchange.abort(
-                    exchange.isSent()
-                            ? FinishedCall.unknown(ErrorCode.OUTCOME_UNKNOWN)
-                            : FinishedCall.notRun(ErrorCode.CANCELLED));
+            exchange.cancel();
         } else if (speeds.forget(call) || admission.get().cancelQueued(id.call(), id.attempt())) {
             end(call, FinishedCall.notRun(ErrorCode.CANCELLED));
         }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -21,6 +21,10 @@
 /** One HTTP exchange with the target, which ends exactly once. */
 final class TargetExchange {
 
+    // The ingress ends a call at its deadline. The guard ends a request that was sent only when
+    // nothing has come from the ingress for this much longer, because the ingress is gone.
+    private static final int LOST_INGRESS_MILLIS = 250;
+
     private final Vertx vertx;
     private final TargetProtocol protocol;
     private final CallFrame frame;
@@ -31,6 +35,7 @@
     private final Buffer answerBody = Buffer.buffer();
     private HttpClientRequest request;
     private long timer = -1;
+    private boolean overdue;
     private boolean ended;
 
     TargetExchange(
@@ -49,24 +54,31 @@
         this.listener = listener;
     }
 
-    /** Sends the request; after the given time the exchange ends with an unknown outcome. */
+    /**
+     * Sends the request.
+     *
+     * @param timeoutMillis the time until the call's deadline; a request that has not been sent by
+     *     then is not sent, and one that has been sent is left to the target and to the ingress
+     */
     void start(HttpClient client, RequestOptions options, long timeoutMillis) {
-        timer =
-                vertx.setTimer(
-                        Math.max(1, timeoutMillis),
-                        ignored -> {
-                            if (request == null) {
-                                abort(FinishedCall.notRun(ErrorCode.DEADLINE_TOO_SHORT));
-                            } else {
-                                abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED));
-                            }
-                        });
+        timer = vertx.setTimer(Math.max(1, timeoutMillis), ignored -> onDeadline());
         options.setMethod(HttpMethod.valueOf(content.method())).setURI(content.path());
         client.request(options)
                 .onSuccess(this::send)
                 .onFailure(failure -> end(TargetResult.connectFailed()));
     }
 
+    /** Ends the exchange because the ingress does not wait for its answer any more. */
+    void cancel() {
+        if (!isSent()) {
+            abort(FinishedCall.notRun(ErrorCode.CANCELLED));
+        } else if (overdue) {
+            abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED));
+        } else {
+            abort(FinishedCall.unknown(ErrorCode.OUTCOME_UNKNOWN));
+        }
+    }
+
     /** Ends the exchange and closes its connection, which tells the target to stop. */
     void abort(FinishedCall finished) {
         if (ended) {
@@ -84,6 +96,18 @@
         return request != null;
     }
 
+    private void onDeadline() {
+        overdue = true;
+        if (!isSent()) {
+            abort(FinishedCall.notRun(ErrorCode.DEADLINE_TOO_SHORT));
+            return;
+        }
+        timer =
+                vertx.setTimer(
+                        LOST_INGRESS_MILLIS,
+                        ignored -> abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED)));
+    }
+
     private void send(HttpClientRequest opened) {
         opened.exceptionHandler(failure -> end(TargetResult.broken()));
         if (ended) {
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -81,7 +81,7 @@
             end(FinishedCall.notRun(ErrorCode.DEADLINE_TOO_SHORT));
             return;
         }
-        deadlineTimer = vertx.setTimer(remainingNanos / NANOS_PER_MILLI, ignored -> onDeadline());
+        deadlineTimer = vertx.setTimer(ceilMillis(remainingNanos), ignored -> onDeadline());
         sendNext();
         scheduleHedge();
     }
@@ -139,7 +139,8 @@
 
     private void send(RouteTarget target, boolean mayQueue, long nowNanos) {
         int attempt = attemptsMade++;
-        // The guard must give up first, so that its certain answer arrives before the deadline.
+        // A call that is still queued must end first at the guard, so that its certain answer
+        // arrives before the deadline, and a target that keeps to its time must be heard.
         long roundTripNanos = Math.min(MAX_RESERVED_NANOS, ingress.sender().roundTripNanos(target));
         long remainingNanos = request.deadlineNanos() - nowNanos - roundTripNanos;
         CallFrame frame =
@@ -289,6 +290,11 @@
         return open.values().iterator().next().target().node();
     }
 
+    // A timer must not fire before the deadline, while the caller still waits.
+    private static long ceilMillis(long nanos) {
+        return (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
+    }
+
     private void onDeadline() {
         if (ended) {
             return;
