Take no request in a graceful stop whose answer cannot be awaited

- Requests were taken until 600 ms before the end of the stop, however long their callers wait, and those still at work then were cut.
Once callers had their time to leave, a request whose deadline lies after the end of the stop is refused as not run.
The time to leave counts from SIGTERM, also while the leaving is being announced.
- A refusal closed its connection although calls for pipelined requests behind it were running.
It now leaves the connection open for their answers.

A request is refused only after its body was read: closing a connection with unread bytes resets it, which can destroy the refusal on its way.

--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -38,8 +38,8 @@
 
     private static final long POLL_IDLE_MILLIS = 20;
 
-    // Longer than most calls take, so that a node that callers do not leave still ends idle.
-    private static final long REFUSE_NANOS = 600_000_000L;
+    // The time to write the last answers before the ports are closed.
+    private static final long LAST_ANSWERS_NANOS = 100_000_000L;
 
     // Without the platform log keys cannot be handed over; the next owner then waits for the
     // window.
@@ -114,14 +114,16 @@
     public Future<Void> stop() {
         leaving = true;
         log.write(LogEvent.NODE_LEAVING, "node", identity.node());
-        long limitMillis =
-                settings.budgets().leaveMillis() + settings.budgets().stopSeconds() * 1_000L;
+        int leaveMillis = settings.budgets().leaveMillis();
+        long limitMillis = leaveMillis + settings.budgets().stopSeconds() * 1_000L;
         long untilNanos = System.nanoTime() + limitMillis * 1_000_000L;
+        // Counts from here, however long it takes to announce the leaving.
+        delay(leaveMillis).onSuccess(ignored -> loop.run(() -> finishTraffic(untilNanos)));
         return loop.run(this::leaveKeys)
                 .compose(ignored -> control.announceLeaving())
                 .recover(failure -> Future.succeededFuture())
                 .compose(ignored -> loop.run(this::leaveTraffic))
-                .compose(ignored -> delay(settings.budgets().leaveMillis()))
+                .compose(ignored -> delay(leaveMillis))
                 .compose(ignored -> awaitIdle(untilNanos))
                 .compose(ignored -> awaitHandover(System.nanoTime() + HANDOVER_LIMIT_NANOS))
                 .compose(ignored -> closeAll());
@@ -345,18 +347,20 @@
         return Future.succeededFuture();
     }
 
+    // Callers had their time to leave; those who stay get only what can still be finished.
+    private Future<Void> finishTraffic(long untilNanos) {
+        ingressServer.finishBy(untilNanos - LAST_ANSWERS_NANOS);
+        return Future.succeededFuture();
+    }
+
     private Future<Void> awaitIdle(long untilNanos) {
-        return loop.run(() -> Future.succeededFuture(guard.pending() + ingressServer.pending()))
+        return loop.run(() -> Future.succeededFuture(refuseIfIdle(untilNanos)))
                 .compose(
                         pending -> {
                             if (pending == 0) {
                                 return Future.succeededFuture();
                             }
-                            long leftNanos = untilNanos - System.nanoTime();
-                            if (leftNanos < REFUSE_NANOS) {
-                                loop.run(this::refuseRequests);
-                            }
-                            if (leftNanos < 0) {
+                            if (System.nanoTime() - untilNanos > 0) {
                                 log.write(LogEvent.STOP_INCOMPLETE, "pending", pending);
                                 return Future.succeededFuture();
                             }
@@ -365,9 +369,16 @@
                         });
     }
 
-    private Future<Void> refuseRequests() {
-        ingressServer.refuse();
-        return Future.succeededFuture();
+    /**
+     * Returns how many requests are pending. If none is, or if the time is over, requests are
+     * refused from the same turn of the loop on, so that none is passed on before the ports close.
+     */
+    private int refuseIfIdle(long untilNanos) {
+        int pending = guard.pending() + ingressServer.pending();
+        if (pending == 0 || System.nanoTime() - untilNanos > 0) {
+            ingressServer.refuse();
+        }
+        return pending;
     }
 
     private Future<Void> leaveKeys() {
@@ -405,7 +416,7 @@
 
     private Future<Void> delay(long millis) {
         Promise<Void> promise = Promise.promise();
-        vertx.setTimer(millis, ignored -> promise.complete());
+        vertx.setTimer(Math.max(1, millis), ignored -> promise.complete());
         return promise.future();
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
@@ -45,6 +46,7 @@
             new IdentityHashMap<>();
     private int pending;
     private boolean leaving;
+    private OptionalLong finishByNanos = OptionalLong.empty();
     private boolean refusing;
 
     private IngressServer(
@@ -132,6 +134,16 @@
         return idle.future();
     }
 
+    /**
+     * Refuses new requests whose caller waits longer than until the given time, since their answers
+     * could not be awaited; they were not run.
+     *
+     * @param nanos the time on the monotonic clock
+     */
+    public void finishBy(long nanos) {
+        finishByNanos = OptionalLong.of(nanos);
+    }
+
     /** Refuses new requests, which were not run, while those under way are still served. */
     public void refuse() {
         refusing = true;
@@ -156,14 +168,19 @@
         request.response().endHandler(ignored -> state.onClosed());
         if (early.isPresent()) {
             state.onStarted(early.get());
-        } else if (refusing) {
-            state.onRefused(
-                    new DogwoodwoodException(ErrorCode.NODE_STOPPING, "This node is stopping."));
         } else {
             reader.read(request).onSuccess(state::onRead).onFailure(state::onRefused);
         }
     }
 
+    private boolean mayOutlastTheStop(IngressRequest request) {
+        return finishByNanos.isPresent() && request.deadlineNanos() - finishByNanos.getAsLong() > 0;
+    }
+
+    private static DogwoodwoodException stopping() {
+        return new DogwoodwoodException(ErrorCode.NODE_STOPPING, "This node is stopping.");
+    }
+
     // The callers of HTTP/2 have a stream for each request, so nothing waits there.
     private PipelinedCalls pipelineOf(HttpServerRequest request) {
         PipelinedCalls known = pipelines.get(request.connection());
@@ -239,6 +256,11 @@
             if (closed) {
                 return;
             }
+            // A refusal before the body has arrived could be lost with its connection.
+            if (refusing || mayOutlastTheStop(read)) {
+                onRefused(stopping());
+                return;
+            }
             call = ingress.call(read, finished -> onFinished(read, finished));
         }
 
@@ -255,8 +277,10 @@
             metrics.onIngressError(code);
             boolean unread = !request.isEnded();
             boolean firstVersion = request.version() != HttpVersion.HTTP_2;
-            if ((unread || refusing) && firstVersion) {
-                // The rest of the body would be taken for the next request.
+            // The rest of the body would be taken for the next request. Calls that have started for
+            // requests behind this one still need the connection.
+            boolean closing = unread || (leaving && !calls.hasWaiting());
+            if (closing && firstVersion) {
                 request.response().putHeader("Connection", "close");
             }
             Future<Void> written = protocol.writeError(request, code, detail);
