Answer a call whose target sends header fields that HTTP does not allow

A caller got no answer at all, until it gave up, when the answer of the target could not be written: the exception left the call ended and its request open. By then the timer of the deadline was cancelled, so that nothing else ended the request; a graceful stop waited for it and cut it. The ingress now logs the reason and answers with TARGET_FAILED, outcome unknown.

PeerProtocolTests.tellsTheCallerThatAnAnswerCannotBePassedOn failed before: the caller timed out after 8 s.

--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -299,22 +299,12 @@
 
         private void onFinished(IngressRequest read, FinishedCall finished) {
             answered = true;
-            if (leaving && !calls.hasWaiting() && request.version() != HttpVersion.HTTP_2) {
-                request.response().putHeader("Connection", "close");
-            }
-            int status;
-            if (finished.answer().isPresent()) {
-                TargetAnswer answer = finished.answer().get();
-                status = answer.status();
-                protocol.writeAnswer(request, answer);
-            } else {
-                ErrorCode code = finished.error().orElseThrow();
-                // What one busy guard says is of no use to a caller; all of them are busy.
-                code = code == ErrorCode.GUARD_BUSY ? ErrorCode.OVERLOADED : code;
-                status = code.httpStatus();
-                metrics.onIngressError(code);
-                protocol.writeError(request, code, "The call ended without an answer.");
-            }
+            int status =
+                    finished.answer().isPresent()
+                            ? writeAnswer(finished.answer().get())
+                            : writeError(
+                                    finished.error().orElseThrow(),
+                                    "The call ended without an answer.");
             metrics.onAnswered(
                     read.service().name(),
                     read.callClass(),
@@ -322,6 +312,34 @@
                     System.nanoTime() - arrivedNanos);
         }
 
+        private int writeAnswer(TargetAnswer answer) {
+            closeIfLeaving();
+            try {
+                protocol.writeAnswer(request, answer);
+                return answer.status();
+            } catch (IllegalArgumentException e) {
+                // A header field breaks HTTP. The head is checked before any of it is written.
+                log.write(LogEvent.HANDLER_FAILED, "message", String.valueOf(e));
+                request.response().headers().clear();
+                return writeError(ErrorCode.TARGET_FAILED, "The target's answer breaks HTTP.");
+            }
+        }
+
+        private int writeError(ErrorCode ended, String detail) {
+            closeIfLeaving();
+            // What one busy guard says is of no use to a caller; all of them are busy.
+            ErrorCode code = ended == ErrorCode.GUARD_BUSY ? ErrorCode.OVERLOADED : ended;
+            metrics.onIngressError(code);
+            protocol.writeError(request, code, detail);
+            return code.httpStatus();
+        }
+
+        private void closeIfLeaving() {
+            if (leaving && !calls.hasWaiting() && request.version() != HttpVersion.HTTP_2) {
+                request.response().putHeader("Connection", "close");
+            }
+        }
+
         void onClosed() {
             if (closed) {
                 return;
--- a/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
@@ -28,6 +28,7 @@
 import org.dogwoodwood.codec.wire.PingFrame;
 import org.dogwoodwood.codec.wire.PongFrame;
 import org.dogwoodwood.core.calls.FinishedCall;
+import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.TargetAnswer;
 import org.dogwoodwood.core.model.TargetState;
@@ -85,6 +86,28 @@
                                 .contains("dogwoodwood_late_answers_total 4"));
     }
 
+    /** Guards against callers that never hear of a call whose answer HTTP does not allow. */
+    @Test
+    void tellsTheCallerThatAnAnswerCannotBePassedOn() {
+        TestNode ingress = installation.ingress("ingress");
+        List<HeaderField> headers = List.of(HeaderField.of("X-Invalid", "a\nb"));
+        TargetAnswer invalid = TargetAnswer.of(200, headers, new byte[1]);
+        Endpoint fake =
+                fakeGuard(
+                        (socket, call) -> {
+                            FinishedCall finished = FinishedCall.answered(invalid);
+                            socket.write(
+                                    encode(AnswerFrame.of(call.id(), finished, Optional.empty())));
+                        });
+        installation.route(route(fake));
+
+        HttpResponse<String> answered = installation.get(ingress, "/echo");
+
+        assertThat(answered.statusCode()).isEqualTo(502);
+        assertThat(answered.headers().firstValue("X-Invalid")).isEmpty();
+        assertThat(answered.headers().firstValue("Dogwoodwood-Outcome")).hasValue("unknown");
+    }
+
     @Test
     void closesConnectionsThatSendMalformedFramesAndServesOthers() {
         TestNode guard = installation.guard("guard", installation.target());
