--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
@@ -45,6 +46,7 @@
             new IdentityHashMap<>();
     private int pending;
     private boolean leaving;
+    private OptionalLong finishByNanos = OptionalLong.empty();
     private boolean refusing;
 
     private IngressServer(
@@ -132,6 +134,16 @@
         return idle.future();
     }
 
+    /**
+     * Refuses new requests whose caller waits longer than until the given time, since their answers
+     * could not be awaited; they were not run.
+     *
+     * @param nanos the time on the monotonic clock
+     */
+    public void finishBy(long nanos) {
+        finishByNanos = OptionalLong.of(nanos);
+    }
+
     /** Refuses new requests, which were not run, while those under way are still served. */
     public void refuse() {
         refusing = true;
@@ -156,14 +168,19 @@
         request.response().endHandler(ignored -> state.onClosed());
         if (early.isPresent()) {
             state.onStarted(early.get());
-        } else if (refusing) {
-            state.onRefused(
-                    new DogwoodwoodException(ErrorCode.NODE_STOPPING, "This node is stopping."));
         } else {
             reader.read(request).onSuccess(state::onRead).onFailure(state::onRefused);
         }
     }
 
+    private boolean mayOutlastTheStop(IngressRequest request) {
+        return finishByNanos.isPresent() && request.deadlineNanos() - finishByNanos.getAsLong() > 0;
+    }
+
+    private static DogwoodwoodException stopping() {
+        return new DogwoodwoodException(ErrorCode.NODE_STOPPING, "This node is stopping.");
+    }
+
     // The callers of HTTP/2 have a stream for each request, so nothing waits there.
     private PipelinedCalls pipelineOf(HttpServerRequest request) {
         PipelinedCalls known = pipelines.get(request.connection());
@@ -239,6 +256,11 @@
             if (closed) {
                 return;
             }
+            // A refusal before the body has arrived could be lost with its connection.
+            if (refusing || mayOutlastTheStop(read)) {
+                onRefused(stopping());
+                return;
+            }
             call = ingress.call(read, finished -> onFinished(read, finished));
         }
 
@@ -255,8 +277,10 @@
             metrics.onIngressError(code);
             boolean unread = !request.isEnded();
             boolean firstVersion = request.version() != HttpVersion.HTTP_2;
-            if ((unread || refusing) && firstVersion) {
-                // The rest of the body would be taken for the next request.
+            // The rest of the body would be taken for the next request. Calls that have started for
+            // requests behind this one still need the connection.
+            boolean closing = unread || (leaving && !calls.hasWaiting());
+            if (closing && firstVersion) {
                 request.response().putHeader("Connection", "close");
             }
             Future<Void> written = protocol.writeError(request, code, detail);
@@ -275,22 +299,12 @@
 
         private void onFinished(IngressRequest read, FinishedCall finished) {
             answered = true;
-            if (leaving && !calls.hasWaiting() && request.version() != HttpVersion.HTTP_2) {
-                request.response().putHeader("Connection", "close");
-            }
-            int status;
-            if (finished.answer().isPresent()) {
-                TargetAnswer answer = finished.answer().get();
-                status = answer.status();
-                protocol.writeAnswer(request, answer);
-            } else {
-                ErrorCode code = finished.error().orElseThrow();
-                // What one busy guard says is of no use to a caller; all of them are busy.
-                code = code == ErrorCode.GUARD_BUSY ? ErrorCode.OVERLOADED : code;
-                status = code.httpStatus();
-                metrics.onIngressError(code);
-                protocol.writeError(request, code, "The call ended without an answer.");
-            }
+            int status =
+                    finished.answer().isPresent()
+                            ? writeAnswer(finished.answer().get())
+                            : writeError(
+                                    finished.error().orElseThrow(),
+                                    "The call ended without an answer.");
             metrics.onAnswered(
                     read.service().name(),
                     read.callClass(),
@@ -298,6 +312,34 @@
                     System.nanoTime() - arrivedNanos);
         }
 
+        private int writeAnswer(TargetAnswer answer) {
+            closeIfLeaving();
+            try {
+                protocol.writeAnswer(request, answer);
+                return answer.status();
+            } catch (IllegalArgumentException e) {
+                // A header field breaks HTTP. The head is checked before any of it is written.
+                log.write(LogEvent.HANDLER_FAILED, "message", String.valueOf(e));
+                request.response().headers().clear();
+                return writeError(ErrorCode.TARGET_FAILED, "The target's answer breaks HTTP.");
+            }
+        }
+
+        private int writeError(ErrorCode ended, String detail) {
+            closeIfLeaving();
+            // What one busy guard says is of no use to a caller; all of them are busy.
+            ErrorCode code = ended == ErrorCode.GUARD_BUSY ? ErrorCode.OVERLOADED : ended;
+            metrics.onIngressError(code);
+            protocol.writeError(request, code, detail);
+            return code.httpStatus();
+        }
+
+        private void closeIfLeaving() {
+            if (leaving && !calls.hasWaiting() && request.version() != HttpVersion.HTTP_2) {
+                request.response().putHeader("Connection", "close");
+            }
+        }
+
         void onClosed() {
             if (closed) {
                 return;
