End each call to a log in time and within a limit of size

A node could wait for ever for an answer of the store or of the platform log, so that it was never announced and never learned a configuration.

Three causes. The steps of a call were chained outside the request: a thread that is no event loop could register the step that reads the body after the body had passed, and the idle timeout of the HTTP client ends with the head. The same timeout starts anew with each byte, so that a slow answer held a call without a limit. Bodies, and the pages of newest records, were collected without a limit of size.

BoundedHttpClient sends from one event loop, nests the steps, and ends each call by a timer of its own for connecting, head and body together. It closes the connection when a limit is passed.

--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogFailures.java
@@ -0,0 +1,39 @@
+package org.dogwoodwood.node.control;
+
+import io.vertx.core.json.DecodeException;
+import org.dogwoodwood.core.DogwoodwoodException;
+import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.node.http.AnswerTooLargeException;
+
+/** Translates the failures of calls to a log into typed ones. */
+public final class LogFailures {
+
+    private LogFailures() {}
+
+    /**
+     * Returns the typed failure of a call.
+     *
+     * @param log what was called, as the subject of a sentence
+     * @param failure what the call failed with, not null
+     * @return {@code failure} itself if it is typed; otherwise {@code LOG_PROTOCOL} if the answer
+     *     cannot be read, and {@code LOG_UNAVAILABLE} if there is none
+     */
+    public static DogwoodwoodException of(String log, Throwable failure) {
+        if (failure instanceof DogwoodwoodException typed) {
+            return typed;
+        }
+        return new DogwoodwoodException(
+                isUnreadable(failure) ? ErrorCode.LOG_PROTOCOL : ErrorCode.LOG_UNAVAILABLE,
+                log + " cannot be used: " + failure.getMessage() + ".",
+                failure);
+    }
+
+    private static boolean isUnreadable(Throwable failure) {
+        return failure instanceof DecodeException
+                || failure instanceof AnswerTooLargeException
+                || failure instanceof ClassCastException
+                || failure instanceof NullPointerException
+                || failure instanceof IndexOutOfBoundsException
+                || failure instanceof IllegalArgumentException;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/http/BoundedExchange.java
@@ -0,0 +1,92 @@
+package org.dogwoodwood.node.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.RequestOptions;
+import java.util.concurrent.TimeoutException;
+
+/** One request of a {@link BoundedHttpClient}, which ends exactly once. */
+final class BoundedExchange {
+
+    private final Vertx vertx;
+    private final int maxBodyBytes;
+    private final Promise<HttpAnswer> answer = Promise.promise();
+    private final Buffer content = Buffer.buffer();
+    private HttpClientRequest request;
+    private long timer;
+    private boolean ended;
+
+    BoundedExchange(Vertx vertx, int maxBodyBytes) {
+        this.vertx = vertx;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    Future<HttpAnswer> answer() {
+        return answer.future();
+    }
+
+    void start(HttpClient client, RequestOptions options, Buffer body, long timeoutMillis) {
+        timer = vertx.setTimer(timeoutMillis, ignored -> onTimeout(timeoutMillis));
+        client.request(options).onSuccess(opened -> send(opened, body)).onFailure(this::fail);
+    }
+
+    private void send(HttpClientRequest opened, Buffer body) {
+        opened.exceptionHandler(this::fail);
+        request = opened;
+        if (ended) {
+            opened.reset();
+            return;
+        }
+        opened.send(body).onSuccess(this::receive).onFailure(this::fail);
+    }
+
+    private void receive(HttpClientResponse response) {
+        response.exceptionHandler(this::fail);
+        response.handler(this::onBody);
+        response.endHandler(
+                ignored -> {
+                    if (end()) {
+                        answer.complete(
+                                new HttpAnswer(response.statusCode(), response.headers(), content));
+                    }
+                });
+    }
+
+    private void onBody(Buffer chunk) {
+        if (ended) {
+            return;
+        }
+        if (content.length() + chunk.length() > maxBodyBytes) {
+            fail(new AnswerTooLargeException(maxBodyBytes));
+        } else {
+            content.appendBuffer(chunk);
+        }
+    }
+
+    private void onTimeout(long timeoutMillis) {
+        fail(new TimeoutException("no whole answer came within " + timeoutMillis + " ms"));
+    }
+
+    private void fail(Throwable failure) {
+        if (end()) {
+            answer.fail(failure);
+            if (request != null) {
+                request.reset();
+            }
+        }
+    }
+
+    private boolean end() {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        vertx.cancelTimer(timer);
+        return true;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/http/BoundedHttpClient.java
@@ -0,0 +1,67 @@
+package org.dogwoodwood.node.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.Objects;
+
+/**
+ * Sends HTTP requests whose answers have a limit of size, and of time from the call to the last
+ * byte of the body. A request that passes a limit fails, and its connection is closed.
+ */
+public final class BoundedHttpClient {
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final int maxBodyBytes;
+
+    private BoundedHttpClient(Vertx vertx, HttpClient client, int maxBodyBytes) {
+        this.vertx = vertx;
+        this.client = client;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /**
+     * Returns a client.
+     *
+     * @param vertx the event loops, not null
+     * @param options the options of its connections, not null
+     * @param connections how many connections it opens at most
+     * @param maxBodyBytes the largest body of an answer that it accepts, in bytes
+     */
+    public static BoundedHttpClient create(
+            Vertx vertx, HttpClientOptions options, int connections, int maxBodyBytes) {
+        Objects.requireNonNull(vertx, "vertx");
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(connections);
+        return new BoundedHttpClient(vertx, vertx.createHttpClient(options, pool), maxBodyBytes);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param options the request, not null
+     * @param body its body, not null
+     * @param timeoutMillis the time until the whole answer is due, in milliseconds
+     * @return the answer; a {@link java.util.concurrent.TimeoutException} or an {@link
+     *     AnswerTooLargeException} if it passes a limit
+     */
+    public Future<HttpAnswer> send(RequestOptions options, Buffer body, long timeoutMillis) {
+        BoundedExchange exchange = new BoundedExchange(vertx, maxBodyBytes);
+        // All steps run on one event loop, so that no part of an answer is missed between two.
+        if (Vertx.currentContext() == null) {
+            vertx.runOnContext(ignored -> exchange.start(client, options, body, timeoutMillis));
+        } else {
+            exchange.start(client, options, body, timeoutMillis);
+        }
+        return exchange.answer();
+    }
+
+    /** Closes the connections. */
+    public Future<Void> close() {
+        return client.close();
+    }
+}
