Start calls only after the sockets have been read once more

Callers saw nothing of it, but targets worked for nobody when they had least time to spare.

Cause: a busy event loop reads a request and starts its call in the same turn. The caller's close, or the cancel of a peer, that has long been in the same socket is read after that.

ReadFirstQueue runs an action after the loop has read its sockets once more, and at most 20 ms of actions between two reads. The ingress sends attempts (first ones, retries and hedges) through it, and the guard the requests to its target, after a connection is open and whatever the call has waited for. A call that has ended meanwhile is dropped.

DepartedCallerTests block the traffic loop of a node while a caller leaves or a sender cancels. On the code before, requests of callers that closed or reset their connection reached the target, at a distant guard and at the node's own, and so did a cancelled call. The test of the queued call passed before too: whether the cancel or the answers that free a slot are read first depends on the order of the sockets.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.core.model.HeaderField;
+import org.dogwoodwood.node.loop.ReadFirstQueue;
 import org.dogwoodwood.node.settings.Endpoint;
 
 /** The HTTP connections to one target: a pool for calls and one connection for polls. */
@@ -29,6 +30,7 @@
     private final Endpoint address;
     private final HttpClient calls;
     private final HttpClient polls;
+    private final ReadFirstQueue starts;
 
     private TargetClient(Vertx vertx, TargetProtocol protocol, Endpoint address, int connections) {
         this.vertx = vertx;
@@ -40,6 +42,7 @@
                 vertx.createHttpClient(
                         options(), new PoolOptions().setHttp1MaxSize(callConnections));
         this.polls = vertx.createHttpClient(options(), new PoolOptions().setHttp1MaxSize(1));
+        this.starts = ReadFirstQueue.create(vertx);
     }
 
     static TargetClient create(
@@ -54,7 +57,8 @@
             long timeoutMillis,
             Consumer<TargetResult> listener) {
         TargetExchange exchange =
-                new TargetExchange(vertx, protocol, frame, extraHeaders, maxAnswerBytes, listener);
+                new TargetExchange(
+                        vertx, starts, protocol, frame, extraHeaders, maxAnswerBytes, listener);
         exchange.start(calls, requestOptions(), timeoutMillis);
         return exchange;
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -17,11 +17,13 @@
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.core.model.TargetAnswer;
 import org.dogwoodwood.node.http.Headers;
+import org.dogwoodwood.node.loop.ReadFirstQueue;
 
 /** One HTTP exchange with the target, which ends exactly once. */
 final class TargetExchange {
 
     private final Vertx vertx;
+    private final ReadFirstQueue starts;
     private final TargetProtocol protocol;
     private final CallFrame frame;
     private final RequestContent content;
@@ -35,12 +37,14 @@
 
     TargetExchange(
             Vertx vertx,
+            ReadFirstQueue starts,
             TargetProtocol protocol,
             CallFrame frame,
             List<HeaderField> extraHeaders,
             int maxAnswerBytes,
             Consumer<TargetResult> listener) {
         this.vertx = vertx;
+        this.starts = starts;
         this.protocol = protocol;
         this.frame = frame;
         this.content = frame.request();
@@ -63,7 +67,8 @@
                         });
         options.setMethod(HttpMethod.valueOf(content.method())).setURI(content.path());
         client.request(options)
-                .onSuccess(this::send)
+                // A cancel may have arrived while the call waited for a connection.
+                .onSuccess(opened -> starts.execute(() -> send(opened)))
                 .onFailure(failure -> end(TargetResult.connectFailed()));
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
@@ -18,6 +18,7 @@
 import org.dogwoodwood.core.routing.RoutingTable;
 import org.dogwoodwood.node.control.ControlPlane;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.loop.ReadFirstQueue;
 import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.peer.AttemptSender;
 import org.dogwoodwood.node.peer.PeerIdentity;
@@ -34,6 +35,7 @@
     private final NodeMetrics metrics;
     private final RandomGenerator random;
     private final EventLog log;
+    private final ReadFirstQueue starts;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<NodeId, String> serviceByNode = new HashMap<>();
     private RoutingTable indexed = RoutingTable.empty();
@@ -56,6 +58,7 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.random = Objects.requireNonNull(random, "random");
         this.log = Objects.requireNonNull(log, "log");
+        this.starts = ReadFirstQueue.create(vertx);
     }
 
     /** Returns an ingress that has accepted no call yet. */
@@ -110,6 +113,11 @@
         return sender;
     }
 
+    /** Returns the queue in which attempts wait until the callers' sockets have been read. */
+    ReadFirstQueue starts() {
+        return starts;
+    }
+
     NodeMetrics metrics() {
         return metrics;
     }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -82,8 +82,11 @@
             return;
         }
         deadlineTimer = vertx.setTimer(remainingNanos / NANOS_PER_MILLI, ignored -> onDeadline());
-        sendNext();
-        scheduleHedge();
+        whenStillWanted(
+                () -> {
+                    sendNext();
+                    scheduleHedge();
+                });
     }
 
     /** Ends the call without an answer, since nobody waits for it any more. */
@@ -96,6 +99,17 @@
         }
     }
 
+    /** Runs an action unless the caller turns out to have left or the call ends before. */
+    private void whenStillWanted(Runnable action) {
+        ingress.starts()
+                .execute(
+                        () -> {
+                            if (!ended) {
+                                action.run();
+                            }
+                        });
+    }
+
     private void sendNext() {
         long nowNanos = System.nanoTime();
         state.refresh(ingress.routingTable(), nowNanos);
@@ -223,7 +237,7 @@
             if (finished.outcome() == Outcome.NOT_RUN) {
                 attemptsMade = state.retries().nextAttempt(attemptsMade, attempt.mayQueue());
             }
-            sendNext();
+            whenStillWanted(this::sendNext);
         } else {
             end(finished);
         }
@@ -253,7 +267,7 @@
     private void hedgeAfter(long delayNanos) {
         long delayMillis = Math.max(1, delayNanos / NANOS_PER_MILLI);
         vertx.cancelTimer(hedgeTimer);
-        hedgeTimer = vertx.setTimer(delayMillis, ignored -> hedge());
+        hedgeTimer = vertx.setTimer(delayMillis, ignored -> whenStillWanted(this::hedge));
     }
 
     private void hedge() {
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/loop/ReadFirstQueue.java
@@ -0,0 +1,75 @@
+package org.dogwoodwood.node.loop;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.internal.ContextInternal;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs actions after the event loop has read its sockets once more, in the order in which they were
+ * given; used on one event loop only.
+ *
+ * <p>A request and the end of its connection, or a call and its cancel, may be in the same socket
+ * when a busy loop reads it. An action that starts work for a request is therefore given to this
+ * queue and checks, when it runs, that the work is still wanted.
+ */
+public final class ReadFirstQueue {
+
+    // Sockets are read between two groups of actions, so that an end that arrives meanwhile is seen
+    // long before it is half a second old.
+    private static final long GROUP_NANOS = 20_000_000L;
+
+    private final Vertx vertx;
+    private final Deque<Entry> waiting = new ArrayDeque<>();
+    private long reads;
+    private Future<?> nextRun;
+
+    private ReadFirstQueue(Vertx vertx) {
+        this.vertx = Objects.requireNonNull(vertx, "vertx");
+    }
+
+    /** Returns an empty queue. */
+    public static ReadFirstQueue create(Vertx vertx) {
+        return new ReadFirstQueue(vertx);
+    }
+
+    /** Runs an action on the present context, after the sockets have been read. */
+    public void execute(Runnable action) {
+        Objects.requireNonNull(action, "action");
+        ContextInternal context = (ContextInternal) vertx.getOrCreateContext();
+        waiting.add(new Entry(context, action, reads));
+        schedule(context);
+    }
+
+    // The event loop runs what is scheduled once in each turn, after it has read its sockets and
+    // told the handlers what it has read. What is merely executed may run in the same turn again.
+    private void schedule(ContextInternal context) {
+        if (nextRun == null) {
+            nextRun =
+                    context.nettyEventLoop()
+                            .schedule(() -> onRead(context), 0, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void onRead(ContextInternal context) {
+        nextRun = null;
+        long startNanos = System.nanoTime();
+        while (isNextDue() && System.nanoTime() - startNanos < GROUP_NANOS) {
+            Entry next = waiting.remove();
+            next.context().dispatch(ignored -> next.action().run());
+        }
+        reads++;
+        if (!waiting.isEmpty()) {
+            schedule(context);
+        }
+    }
+
+    private boolean isNextDue() {
+        return !waiting.isEmpty() && waiting.peek().reads() < reads;
+    }
+
+    private record Entry(ContextInternal context, Runnable action, long reads) {}
+}
--- /dev/null
+++ b/node/src/test/java/org/dogwoodwood/node/ingress/DepartedCallerTests.java
@@ -0,0 +1,175 @@
+package org.dogwoodwood.node.ingress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.dogwoodwood.node.support.TestInstallation;
+import org.dogwoodwood.node.support.TestNode;
+import org.dogwoodwood.node.support.TestTarget;
+import org.dogwoodwood.node.support.Waiting;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that reach a target although their caller left while a node was busy. */
+class DepartedCallerTests {
+
+    // The deadlines end after the tests, also on a slow machine.
+    private static final String HEAD =
+            " /services/shop/never HTTP/1.1\r\nHost: a\r\nDogwoodwood-Timeout-Ms: 30000\r\n";
+    private static final String GET = "GET" + HEAD + "\r\n";
+    private static final String POST = "POST" + HEAD + "Content-Length: 4\r\n\r\nbody";
+    private static final String CHUNKED =
+            "POST" + HEAD + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    // What a guard starts at a time at a target that it has just found.
+    private static final int FIRST_LIMIT = 8;
+    private static final List<String> KINDS = List.of(GET, POST, CHUNKED, GET + GET, POST + GET);
+
+    private final TestInstallation installation = new TestInstallation();
+    private TestTarget target;
+    private TestNode guard;
+    private TestNode ingress;
+
+    @BeforeEach
+    void start() {
+        target = installation.target();
+        target.setSlowMillis(1);
+        guard = installation.guard("guard", target);
+        ingress = installation.ingress("ingress");
+        installation.route(guard);
+        assertServes(ingress);
+    }
+
+    @AfterEach
+    void close() {
+        guard.control().releaseLoop();
+        ingress.control().releaseLoop();
+        installation.close();
+    }
+
+    /** Guards against a request being sent on whose caller's close is behind it in the socket. */
+    @Test
+    void sendsNoRequestOnWhoseCallerClosedWhileTheIngressWasBusy() throws IOException {
+        ingress.control().blockLoop();
+        for (String kind : KINDS) {
+            try (RawCaller caller = new RawCaller(ingress.node().callerPort())) {
+                caller.send(kind);
+            }
+        }
+        ingress.control().releaseLoop();
+
+        assertNothingArrivedBefore(ingress);
+    }
+
+    /** Guards against the same with a connection that is reset and was in use before. */
+    @Test
+    void sendsNoRequestOnWhoseCallerResetItsConnectionWhileTheIngressWasBusy() throws IOException {
+        target.setSlowMillis(1_000);
+        RawCaller caller = new RawCaller(ingress.node().callerPort());
+        caller.send("GET /services/shop/slow HTTP/1.1\r\nHost: a\r\n\r\n");
+        Waiting.until("the first request runs", () -> target.started() == 2);
+        ingress.control().blockLoop();
+        caller.send(GET);
+        caller.send(POST);
+        caller.reset();
+        ingress.control().releaseLoop();
+
+        assertNothingArrivedBefore(ingress);
+    }
+
+    /** Guards against a node that is ingress and guard in one doing so. */
+    @Test
+    void startsNoRequestOfADepartedCallerAtItsOwnTarget() throws IOException {
+        assertServes(guard);
+        guard.control().blockLoop();
+        for (String kind : KINDS) {
+            try (RawCaller caller = new RawCaller(guard.node().callerPort())) {
+                caller.send(kind);
+            }
+        }
+        guard.control().releaseLoop();
+
+        assertNothingArrivedBefore(guard);
+    }
+
+    /** Guards against a call being started whose cancel is behind it in the peer's socket. */
+    @Test
+    void startsNoCallThatWasCancelledWhileTheGuardWasBusy() throws IOException {
+        guard.control().blockLoop();
+        for (String kind : List.of(GET, POST)) {
+            RawCaller caller = new RawCaller(ingress.node().callerPort());
+            caller.send(kind);
+            awaitMetric(ingress, "dogwoodwood_ingress_pending_requests 1");
+            caller.close();
+            awaitMetric(ingress, "dogwoodwood_ingress_pending_requests 0");
+        }
+        awaitMetric(ingress, "dogwoodwood_cancelled_calls_total 2");
+        guard.control().releaseLoop();
+
+        assertNothingArrivedBefore(ingress);
+    }
+
+    /** Guards against a queued call taking a slot that became free while its cancel was unread. */
+    @Test
+    void startsNoQueuedCallThatWasCancelledWhileTheGuardWasBusy() throws IOException {
+        List<CompletableFuture<HttpResponse<String>>> held =
+                IntStream.range(0, FIRST_LIMIT).mapToObj(ignored -> sendHeld()).toList();
+        awaitMetric(guard, "dogwoodwood_guard_pending_calls " + FIRST_LIMIT);
+        RawCaller queued = new RawCaller(ingress.node().callerPort());
+        sendUntilQueued(queued);
+        assertThat(target.seen()).noneMatch(seen -> seen.contains("/never"));
+        guard.control().blockLoop();
+        // The answers that free the slots arrive before the cancel.
+        target.answerHeld();
+        Waiting.until("the target has answered", () -> target.working() == 0);
+        queued.close();
+        awaitMetric(ingress, "dogwoodwood_cancelled_calls_total 1");
+        guard.control().releaseLoop();
+
+        held.forEach(answer -> assertThat(answer.join().statusCode()).isEqualTo(200));
+        assertNothingArrivedBefore(ingress);
+    }
+
+    // A guard refuses some of the calls for which it has no slot instead of queueing them.
+    private void sendUntilQueued(RawCaller caller) {
+        Waiting.until(
+                "a call is queued",
+                () -> {
+                    caller.send(POST);
+                    Waiting.sleep(50);
+                    return has(guard, "dogwoodwood_guard_pending_calls " + (FIRST_LIMIT + 1));
+                });
+    }
+
+    private CompletableFuture<HttpResponse<String>> sendHeld() {
+        HttpRequest request =
+                TestInstallation.request(ingress, "/held")
+                        .header("Dogwoodwood-Timeout-Ms", "8000")
+                        .POST(HttpRequest.BodyPublishers.ofString("x"))
+                        .build();
+        return installation.caller().sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void assertNothingArrivedBefore(TestNode node) {
+        assertServes(node);
+        assertThat(target.seen()).noneMatch(seen -> seen.contains("/never"));
+    }
+
+    private void assertServes(TestNode node) {
+        // The target keeps the connection, so that the next call finds an open one.
+        assertThat(installation.post(node, "/slow", "x").statusCode()).isEqualTo(200);
+    }
+
+    private static void awaitMetric(TestNode node, String line) {
+        Waiting.until(line, () -> has(node, line));
+    }
+
+    private static boolean has(TestNode node, String line) {
+        return node.node().metrics().prometheusText().contains(line);
+    }
+}
--- a/node/src/test/java/org/dogwoodwood/node/ingress/RawCaller.java
+++ b/node/src/test/java/org/dogwoodwood/node/ingress/RawCaller.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -19,9 +20,13 @@
         socket.setSoTimeout(READ_MILLIS);
     }
 
-    void send(String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-        socket.getOutputStream().flush();
+    void send(String text) {
+        try {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     /** Returns all that arrives until the connection is closed or nothing more comes. */
@@ -42,6 +47,12 @@
         return text.toString();
     }
 
+    /** Closes the connection with a reset in place of a regular end. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
--- a/node/src/test/java/org/dogwoodwood/node/support/FixedControlPlane.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/FixedControlPlane.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.core.routing.RoutingTable;
@@ -16,6 +17,7 @@
     private final List<TargetState> announcements = new CopyOnWriteArrayList<>();
     private volatile RoutingTable table = RoutingTable.empty();
     private volatile boolean leaving;
+    private volatile LoopBlock block = LoopBlock.none();
 
     @Override
     public Future<Void> start() {
@@ -29,6 +31,7 @@
 
     @Override
     public RoutingTable routingTable() {
+        block.pass();
         return table;
     }
 
@@ -58,6 +61,20 @@
         return !table.targetsByService().isEmpty();
     }
 
+    /**
+     * Blocks the traffic loop of the node, which asks for the routing table every tenth of a
+     * second; returns when the loop is blocked.
+     */
+    public void blockLoop() {
+        block = new LoopBlock(new CountDownLatch(1), new CountDownLatch(1));
+        Waiting.until("the loop is blocked", () -> block.entered.getCount() == 0);
+    }
+
+    /** Lets the traffic loop go on. */
+    public void releaseLoop() {
+        block.release.countDown();
+    }
+
     /** Replaces the routing table. */
     public void set(RoutingTable next) {
         table = next;
@@ -77,4 +94,20 @@
     public boolean isLeaving() {
         return leaving;
     }
+
+    private record LoopBlock(CountDownLatch entered, CountDownLatch release) {
+
+        static LoopBlock none() {
+            return new LoopBlock(new CountDownLatch(0), new CountDownLatch(0));
+        }
+
+        void pass() {
+            entered.countDown();
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
 }
--- a/node/src/test/java/org/dogwoodwood/node/support/TestTarget.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/TestTarget.java
@@ -2,15 +2,17 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.dogwoodwood.node.settings.Endpoint;
 
-/** A target whose paths have faults: /echo, /slow, /big, /break, /fail and /never. */
+/** A target whose paths have faults: /echo, /slow, /big, /break, /fail, /held and /never. */
 public final class TestTarget {
 
     private final Vertx vertx;
@@ -19,6 +21,8 @@
     private final AtomicInteger working = new AtomicInteger();
     private final AtomicInteger most = new AtomicInteger();
     private final List<String> seen = new CopyOnWriteArrayList<>();
+    private final List<HttpServerResponse> held = new CopyOnWriteArrayList<>();
+    private final List<HttpConnection> connections = new CopyOnWriteArrayList<>();
     private final AtomicInteger incarnation = new AtomicInteger(1);
     private volatile boolean cold;
     private volatile boolean draining;
@@ -51,6 +55,11 @@
         return aborted.get();
     }
 
+    /** Returns how many service requests are open. */
+    public int working() {
+        return working.get();
+    }
+
     /** Returns the most service requests that were open at a time. */
     public int mostAtATime() {
         return most.get();
@@ -75,6 +84,16 @@
         Waiting.get(server.close());
     }
 
+    /** Answers the requests for /held. */
+    public void answerHeld() {
+        held.forEach(response -> response.end("held"));
+    }
+
+    /** Closes all connections, as a target does with those that have been idle for long. */
+    public void closeConnections() {
+        connections.forEach(HttpConnection::close);
+    }
+
     /** Starts again on the same port, with a new incarnation. */
     public void restart() {
         incarnation.incrementAndGet();
@@ -82,7 +101,10 @@
     }
 
     private void listen(int wanted) {
-        server = vertx.createHttpServer().requestHandler(this::onRequest);
+        server =
+                vertx.createHttpServer()
+                        .connectionHandler(connections::add)
+                        .requestHandler(this::onRequest);
         port = Waiting.get(server.listen(wanted, "127.0.0.1")).actualPort();
     }
 
@@ -123,6 +145,7 @@
                                     request.response().end("slow");
                                 }
                             });
+            case "/held" -> held.add(request.response());
             case "/big" -> request.response().end(Buffer.buffer(new byte[5 << 20]));
             case "/break" -> request.connection().close();
             case "/truncate" -> {
