Send a call on a new connection if the target has closed the idle one

A target may close an idle connection while the guard's event loop is busy. A call that is read before the end of that connection was sent on it and ended with an unknown outcome, so callers of requests that are not idempotent got 502 for a request that no target had read.

The sockets are read once more between taking a connection and sending, so the guard now sees the end and takes another connection, once.

FailureTests.sendsACallAgainIfTheTargetHadClosedTheIdleConnection blocks the guard's loop meanwhile; it got 502 on the code before.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -1,5 +1,6 @@
 package org.dogwoodwood.node.guard;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.codec.wire.RequestContent;
 import org.dogwoodwood.core.ErrorCode;
@@ -33,6 +35,7 @@
     private final Buffer answerBody = Buffer.buffer();
     private HttpClientRequest request;
     private long timer = -1;
+    private boolean connectionLost;
     private boolean ended;
 
     TargetExchange(
@@ -66,10 +69,7 @@
                             }
                         });
         options.setMethod(HttpMethod.valueOf(content.method())).setURI(content.path());
-        client.request(options)
-                // A cancel may have arrived while the call waited for a connection.
-                .onSuccess(opened -> starts.execute(() -> send(opened)))
-                .onFailure(failure -> end(TargetResult.connectFailed()));
+        connect(() -> client.request(options), true);
     }
 
     /** Ends the exchange and closes its connection, which tells the target to stop. */
@@ -89,8 +89,40 @@
         return request != null;
     }
 
+    private void connect(Supplier<Future<HttpClientRequest>> connector, boolean mayBeIdle) {
+        connector
+                .get()
+                .onSuccess(
+                        opened -> {
+                            connectionLost = false;
+                            opened.exceptionHandler(failure -> onConnectionLost());
+                            // A cancel, or the end of an idle connection, may be unread.
+                            starts.execute(() -> sendOrReconnect(opened, connector, mayBeIdle));
+                        })
+                .onFailure(failure -> end(TargetResult.connectFailed()));
+    }
+
+    private void onConnectionLost() {
+        connectionLost = true;
+        if (isSent()) {
+            end(TargetResult.broken());
+        }
+    }
+
+    private void sendOrReconnect(
+            HttpClientRequest opened,
+            Supplier<Future<HttpClientRequest>> connector,
+            boolean mayBeIdle) {
+        if (!connectionLost) {
+            send(opened);
+        } else if (mayBeIdle && !ended) {
+            connect(connector, false);
+        } else {
+            end(TargetResult.connectFailed());
+        }
+    }
+
     private void send(HttpClientRequest opened) {
-        opened.exceptionHandler(failure -> end(TargetResult.broken()));
         if (ended) {
             opened.reset();
             return;
--- a/node/src/test/java/org/dogwoodwood/node/FailureTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/FailureTests.java
@@ -216,6 +216,26 @@
         assertThat(node.control().announcements()).endsWith(TargetState.COLD);
     }
 
+    /** Guards against a call being lost on a connection whose end a busy guard had not read. */
+    @Test
+    void sendsACallAgainIfTheTargetHadClosedTheIdleConnection() {
+        TestTarget target = installation.target();
+        TestNode guard = installation.guard("guard", target);
+        TestNode ingress = installation.ingress("ingress");
+        installation.route(guard);
+        assertThat(postSlow(ingress).join().statusCode()).isEqualTo(200);
+        guard.control().blockLoop();
+        CompletableFuture<HttpResponse<String>> call = postSlow(ingress);
+        Waiting.until(
+                "the call is sent to the guard",
+                () -> ingress.node().metrics().prometheusText().contains("attempts_total 2"));
+        target.closeConnections();
+        Waiting.sleep(50);
+        guard.control().releaseLoop();
+
+        assertThat(call.join().statusCode()).isEqualTo(200);
+    }
+
     @Test
     void noticesARestartBetweenTwoPolls() {
         TestTarget target = installation.target();
