--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -1,5 +1,6 @@
 package org.dogwoodwood.node.guard;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.codec.wire.RequestContent;
 import org.dogwoodwood.core.ErrorCode;
@@ -17,6 +19,7 @@
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.core.model.TargetAnswer;
 import org.dogwoodwood.node.http.Headers;
+import org.dogwoodwood.node.loop.ReadFirstQueue;
 
 /** One HTTP exchange with the target, which ends exactly once. */
 final class TargetExchange {
@@ -26,6 +29,7 @@
     private static final int LOST_INGRESS_MILLIS = 250;
 
     private final Vertx vertx;
+    private final ReadFirstQueue starts;
     private final TargetProtocol protocol;
     private final CallFrame frame;
     private final RequestContent content;
@@ -36,16 +40,19 @@
     private HttpClientRequest request;
     private long timer = -1;
     private boolean overdue;
+    private boolean connectionLost;
     private boolean ended;
 
     TargetExchange(
             Vertx vertx,
+            ReadFirstQueue starts,
             TargetProtocol protocol,
             CallFrame frame,
             List<HeaderField> extraHeaders,
             int maxAnswerBytes,
             Consumer<TargetResult> listener) {
         this.vertx = vertx;
+        this.starts = starts;
         this.protocol = protocol;
         this.frame = frame;
         this.content = frame.request();
@@ -63,9 +70,7 @@
     void start(HttpClient client, RequestOptions options, long timeoutMillis) {
         timer = vertx.setTimer(Math.max(1, timeoutMillis), ignored -> onDeadline());
         options.setMethod(HttpMethod.valueOf(content.method())).setURI(content.path());
-        client.request(options)
-                .onSuccess(this::send)
-                .onFailure(failure -> end(TargetResult.connectFailed()));
+        connect(() -> client.request(options), true);
     }
 
     /** Ends the exchange because the ingress does not wait for its answer any more. */
@@ -108,8 +113,40 @@
                         ignored -> abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED)));
     }
 
+    private void connect(Supplier<Future<HttpClientRequest>> connector, boolean mayBeIdle) {
+        connector
+                .get()
+                .onSuccess(
+                        opened -> {
+                            connectionLost = false;
+                            opened.exceptionHandler(failure -> onConnectionLost());
+                            // A cancel, or the end of an idle connection, may be unread.
+                            starts.execute(() -> sendOrReconnect(opened, connector, mayBeIdle));
+                        })
+                .onFailure(failure -> end(TargetResult.connectFailed()));
+    }
+
+    private void onConnectionLost() {
+        connectionLost = true;
+        if (isSent()) {
+            end(TargetResult.broken());
+        }
+    }
+
+    private void sendOrReconnect(
+            HttpClientRequest opened,
+            Supplier<Future<HttpClientRequest>> connector,
+            boolean mayBeIdle) {
+        if (!connectionLost) {
+            send(opened);
+        } else if (mayBeIdle && !ended) {
+            connect(connector, false);
+        } else {
+            end(TargetResult.connectFailed());
+        }
+    }
+
     private void send(HttpClientRequest opened) {
-        opened.exceptionHandler(failure -> end(TargetResult.broken()));
         if (ended) {
             opened.reset();
             return;
