Read the records of members less often in the first seconds

Cause: after it had read the newest records, a node read once more to see that there were no others, and then read after pauses of 0.5, 1, 2, 4 and 8 s while all nodes announced themselves. Gossip tells of the same members.

A batch now says whether it is complete, so that the newest records alone show the end of the log; the third and later pauses are as long as the last one was before (8 to 24 s). The product's own log is read as before.

Tests: waitsForARecordAfterACompleteRead; readsOnlyAFewTimesInTheFirstSeconds (6 reads before, 4 now).

--- a/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlTimes.java
@@ -9,9 +9,9 @@
  * @param exchangeTimeoutMillis how long an exchange with a peer may take
  * @param pollWaitMillis how long a read of the log waits for a record; well below the lease of key
  *     owners, which a read that shows no record renews
- * @param readPauseMillis the mean first pause after a read that showed records, doubled five times;
- *     members learn of each other by gossip as well, and one record would otherwise make each node
- *     read again
+ * @param readPauseMillis the mean first pause after a read that showed records, doubled once and
+ *     then 32 times as long; members learn of each other by gossip as well, and one record would
+ *     otherwise make each node read again
  * @param retryMillis the longest first delay after a failed request to the log
  * @param appendIntervalMillis the least time between two appends that are not urgent
  * @param appendSpreadMillis the time over which appends are spread after an outage
--- a/node/src/main/java/org/dogwoodwood/node/control/HttpPlatformLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/HttpPlatformLog.java
@@ -117,7 +117,11 @@
                                     java.util.Base64.getDecoder()
                                             .decode(entry.getString("data")))));
         }
-        return new Batch(json.getLong("first_offset"), json.getLong("next_offset"), records);
+        return new Batch(
+                json.getLong("first_offset"),
+                json.getLong("next_offset"),
+                records,
+                records.isEmpty());
     }
 
     private static DogwoodwoodException failure(Answer answer) {
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -17,8 +17,11 @@
     private static final int REMEMBERED_IDS = 10_000;
     private static final long MAX_BACKOFF_MILLIS = 5_000;
 
-    // All nodes announce themselves in the first seconds; later records are few.
-    private static final int MAX_PAUSE_DOUBLINGS = 5;
+    // All nodes announce themselves in the first seconds. A few short pauses are enough to meet
+    // some
+    // of them, and gossip tells of the others.
+    private static final int SHORT_PAUSES = 2;
+    private static final int LONG_PAUSE_DOUBLINGS = 5;
 
     private final Vertx vertx;
     private final PlatformLog log;
@@ -121,8 +124,8 @@
         boolean pause = caughtUp && !batch.records().isEmpty() && times.readPauseMillis() > 0;
         batch.records().forEach(this::onRecord);
         nextOffset = Math.max(nextOffset, batch.nextOffset());
-        caughtUp |= batch.records().isEmpty();
-        if (batch.records().isEmpty()) {
+        caughtUp |= batch.complete();
+        if (batch.complete()) {
             listener.onEnd(sentNanos);
         }
         listener.onRead();
@@ -136,7 +139,8 @@
 
     // Nodes that were answered together must not read together again.
     private long pauseMillis() {
-        long mean = times.readPauseMillis() << Math.min(pauses, MAX_PAUSE_DOUBLINGS);
+        int doublings = pauses < SHORT_PAUSES ? pauses : LONG_PAUSE_DOUBLINGS;
+        long mean = times.readPauseMillis() << doublings;
         pauses++;
         return mean / 2 + 1 + random.nextLong(mean);
     }
--- a/node/src/main/java/org/dogwoodwood/node/control/PlatformLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/PlatformLog.java
@@ -41,8 +41,9 @@
      * @param firstOffset the first retained offset
      * @param nextOffset the offset to read next
      * @param records the records in order
+     * @param complete whether the log held no further record when it answered
      */
-    record Batch(long firstOffset, long nextOffset, List<RawRecord> records) {
+    record Batch(long firstOffset, long nextOffset, List<RawRecord> records, boolean complete) {
 
         /** Copies the records. */
         public Batch {
--- a/node/src/test/java/org/dogwoodwood/node/control/LogReaderTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/LogReaderTests.java
@@ -3,10 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.dogwoodwood.codec.log.AnnouncementRecord;
 import org.dogwoodwood.codec.log.LogRecordCodec;
@@ -33,22 +35,63 @@
      */
     @Test
     void pausesAfterReadsThatShowedRecords() {
+        LogReader reader = startReader(log);
+        Waiting.until("a record was read", () -> entries.get() > 0);
+        Waiting.sleep(3_000);
+        reader.stop();
+
+        // The newest records, the end of the log, and reads after pauses that double each time.
+        assertThat(log.reads.get()).isLessThanOrEqualTo(6);
+    }
+
+    /**
+     * Guards against reads after each announcement of the first seconds: gossip tells of members,
+     * so a few reads after a start are enough to meet some of them.
+     */
+    @Test
+    void readsOnlyAFewTimesInTheFirstSeconds() {
+        LogReader reader = startReader(log);
+        Waiting.until("a record was read", () -> entries.get() > 0);
+        Waiting.sleep(6_500);
+        reader.stop();
+
+        // The end of the log, the first record, and one read after each of two short pauses.
+        assertThat(log.reads.get()).isEqualTo(4);
+    }
+
+    /** Guards against a second read that only shows that the first one returned everything. */
+    @Test
+    void waitsForARecordAfterACompleteRead() {
+        NewestLog newest = new NewestLog();
+        LogReader reader = startReader(newest);
+        Waiting.until("a read waits", () -> newest.waitMillis.size() >= 2);
+        reader.stop();
+
+        assertThat(entries.get()).isEqualTo(1);
+        assertThat(newest.waitMillis)
+                .containsExactly(0L, ControlTimes.forKeptLog().pollWaitMillis());
+    }
+
+    private LogReader startReader(PlatformLog source) {
         LogReader reader =
                 new LogReader(
                         vertx,
-                        log,
+                        source,
                         LogStreams.MEMBERSHIP,
                         ControlTimes.forKeptLog(),
                         new Random(1),
                         new CountingListener(),
                         EventLog.create());
         vertx.runOnContext(ignored -> reader.start());
-        Waiting.until("a record was read", () -> entries.get() > 0);
-        Waiting.sleep(3_000);
-        reader.stop();
+        return reader;
+    }
 
-        // The newest records, the end of the log, and reads after pauses that double each time.
-        assertThat(log.reads.get()).isLessThanOrEqualTo(6);
+    private static PlatformLog.RawRecord recordOf(long offset) {
+        byte[] data =
+                LogRecordCodec.encode(
+                        new AnnouncementRecord(
+                                "node-" + offset, 1, "spots", "a", "127.0.0.1", 1, 2, 4, 8));
+        return new PlatformLog.RawRecord(offset, 0, "id-" + offset, Buffer.buffer(data));
     }
 
     private final class CountingListener implements LogReader.EntryListener {
@@ -80,14 +123,34 @@
         public Future<Batch> read(String stream, long from, int max, long waitMillis) {
             reads.incrementAndGet();
             if (waitMillis == 0) {
-                return Future.succeededFuture(new Batch(0, from, List.of()));
+                return Future.succeededFuture(new Batch(0, from, List.of(), true));
             }
-            byte[] data =
-                    LogRecordCodec.encode(
-                            new AnnouncementRecord(
-                                    "node-" + from, 1, "spots", "a", "127.0.0.1", 1, 2, 4, 8));
-            RawRecord record = new RawRecord(from, 0, "id-" + from, Buffer.buffer(data));
-            return Future.succeededFuture(new Batch(0, from + 1, List.of(record)));
+            return Future.succeededFuture(new Batch(0, from + 1, List.of(recordOf(from)), false));
+        }
+
+        @Override
+        public Future<Void> close() {
+            return Future.succeededFuture();
+        }
+    }
+
+    /** A log whose first read returns the newest records, and whose later reads wait. */
+    private static final class NewestLog implements PlatformLog {
+
+        private final List<Long> waitMillis = new CopyOnWriteArrayList<>();
+
+        @Override
+        public Future<Long> append(
+                String stream, String subject, String publicationId, byte[] data) {
+            return Future.failedFuture("The log is only read.");
+        }
+
+        @Override
+        public Future<Batch> read(String stream, long from, int max, long wait) {
+            waitMillis.add(wait);
+            return waitMillis.size() == 1
+                    ? Future.succeededFuture(new Batch(0, 1, List.of(recordOf(0)), true))
+                    : Promise.<Batch>promise().future();
         }
 
         @Override
