Announce a node once while its reader pauses

Cause: a node took its announcement for missing 1.5 s after the store had acknowledged it, unless a read had shown it by then. Reads pause for up to 24 s, and meanwhile the node appended the same announcement every 2 s. Each of these records ended the waiting reads of all nodes.

The offset that the log returned now counts: an acknowledged announcement is on record until the reader has come past it without seeing it. On a log that is read without pauses nothing changes.

--- a/core/src/main/java/org/dogwoodwood/core/membership/RegistrationList.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/RegistrationList.java
@@ -89,6 +89,11 @@
         return Optional.ofNullable(registrations.get(node));
     }
 
+    /** Returns the offset of the last record that was taken in, or -1. */
+    public long readThrough() {
+        return readThrough;
+    }
+
     /** Returns the members of a service. */
     public View view(String service) {
         List<Registration> members = new ArrayList<>();
--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -85,7 +85,7 @@
         return create(vertx, transport, settings, ControlParts.of(settings), random, events);
     }
 
-    private static DefaultControlPlane create(
+    static DefaultControlPlane create(
             Vertx vertx,
             PeerTransport transport,
             ControlSettings settings,
--- a/node/src/main/java/org/dogwoodwood/node/control/LogAppender.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogAppender.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 import org.dogwoodwood.codec.log.LogRecord;
 import org.dogwoodwood.codec.log.LogRecordCodec;
@@ -66,13 +67,13 @@
      */
     void append(
             String key, String stream, String publicationId, LogRecord content, boolean urgent) {
-        append(key, stream, publicationId, content, urgent, () -> {});
+        append(key, stream, publicationId, content, urgent, offset -> {});
     }
 
     /**
      * Queues a record.
      *
-     * @param onAppended is told when the log has acknowledged the record
+     * @param onAppended is told the offset of the record when the log has acknowledged it
      */
     void append(
             String key,
@@ -80,7 +81,7 @@
             String publicationId,
             LogRecord content,
             boolean urgent,
-            Runnable onAppended) {
+            LongConsumer onAppended) {
         Pending known = pending.get(key);
         if (known != null && known.publicationId.equals(publicationId)) {
             return;
@@ -141,14 +142,15 @@
         Pending entry = next.get();
         inFlight = true;
         log.append(entry.stream, entry.subject, entry.publicationId, entry.data)
-                .onComplete(offset -> onAppended(entry), failure -> onFailed(entry, failure));
+                .onComplete(
+                        offset -> onAppended(entry, offset), failure -> onFailed(entry, failure));
     }
 
-    private void onAppended(Pending entry) {
+    private void onAppended(Pending entry, long offset) {
         inFlight = false;
         appended++;
         pending.remove(entry.key, entry);
-        entry.onAppended.run();
+        entry.onAppended.accept(offset);
         backoff.reset();
         earliestNanos = System.nanoTime() + times.appendIntervalMillis() * 1_000_000;
         schedule();
@@ -180,7 +182,7 @@
         private final String publicationId;
         private final byte[] data;
         private final boolean urgent;
-        private final Runnable onAppended;
+        private final LongConsumer onAppended;
 
         private Pending(
                 String key,
@@ -189,7 +191,7 @@
                 String publicationId,
                 byte[] data,
                 boolean urgent,
-                Runnable onAppended) {
+                LongConsumer onAppended) {
             this.key = key;
             this.stream = stream;
             this.subject = subject;
--- a/node/src/main/java/org/dogwoodwood/node/control/MembershipKeeper.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/MembershipKeeper.java
@@ -48,7 +48,7 @@
     private final Runnable orderListener;
     private final boolean keyedCalls;
     private final double renewalJitter;
-    private final long readPauseNanos;
+    private final boolean readsPause;
     private final RegistrationList registrations = RegistrationList.create();
     private final Map<String, RecordedOrder> recordedOrders = new HashMap<>();
     private final Map<NodeId, Long> deadSinceMillis = new HashMap<>();
@@ -57,7 +57,7 @@
     private final List<LongConsumer> expiryListeners = new ArrayList<>();
     private AnnouncementRecord pendingAnnouncement;
     private Optional<AnnouncementRecord> appendedAnnouncement = Optional.empty();
-    private long appendedNanos;
+    private long appendedOffset = -1;
     private long announcedAtMillis;
     private long sequence;
 
@@ -79,7 +79,7 @@
         this.rankOf = rankOf;
         this.orderListener = orderListener;
         this.keyedCalls = keyedCalls;
-        this.readPauseNanos = settings.times().readPauseMillis() * 1_000_000;
+        this.readsPause = settings.times().readPauseMillis() > 0;
         this.renewalJitter = random.nextDouble() * RENEWAL_JITTER;
     }
 
@@ -168,7 +168,7 @@
                     id,
                     announcement,
                     false,
-                    () -> onAppended(announcement));
+                    offset -> onAppended(announcement, offset));
         }
     }
 
@@ -290,14 +290,15 @@
         }
     }
 
-    private void onAppended(AnnouncementRecord announcement) {
+    private void onAppended(AnnouncementRecord announcement, long offset) {
         appendedAnnouncement = Optional.of(announcement);
-        appendedNanos = System.nanoTime();
+        appendedOffset = offset;
     }
 
-    /** Returns whether the log holds this announcement, which the next read will show. */
+    /** Returns whether the log holds this announcement behind what has been read of it. */
     private boolean isAppended(Member self) {
-        return System.nanoTime() - appendedNanos < 3 * readPauseNanos
+        return readsPause
+                && appendedOffset > registrations.readThrough()
                 && appendedAnnouncement.equals(Optional.of(announcementOf(self)));
     }
 
