Build a routing table after a message of a peer only if something has changed

Cause: each message of gossip set a timer and built and compared a table of all members, 12 times a second on an idle node, though most messages tell nothing new. Where leases count, each answer of a peer still gives a new table; the rounds of gossip build one twice a second as before, for what changes with time.

--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -284,7 +284,9 @@
         crashEvidence.merge(message.crashReports(), System.nanoTime());
         configuration.onMessage(message, configurationReader.isReachable());
         updateReadiness();
-        schedulePublish();
+        if (!message.crashReports().isEmpty() || routes.isOutdated(System.nanoTime())) {
+            schedulePublish();
+        }
     }
 
     @Override
--- a/node/src/main/java/org/dogwoodwood/node/control/RoutingTableBuilder.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/RoutingTableBuilder.java
@@ -29,17 +29,21 @@
         this.orders = orders;
     }
 
+    /**
+     * Returns whether members, orders or leases differ from those of the last table. Most messages
+     * of peers tell nothing new, and a table for each would cost more than reading them.
+     */
+    boolean isOutdated(long nowNanos) {
+        // A lease reaches further with each answer of a peer.
+        return leases || areTargetsOutdated(nowNanos);
+    }
+
     /** Returns the routing table at a time. */
     RoutingTable build(Configuration configuration, CrashEvidence crashes, long nowNanos) {
-        boolean nowIsolated = table.isIsolated(nowNanos);
-        boolean changed =
-                tableChanges != table.changes()
-                        || ordersHash != orders.hash()
-                        || isolated != nowIsolated;
-        if (changed) {
+        if (areTargetsOutdated(nowNanos)) {
             tableChanges = table.changes();
             ordersHash = orders.hash();
-            isolated = nowIsolated;
+            isolated = table.isIsolated(nowNanos);
             targets = Map.copyOf(RoutingTable.groupByService(routeTargets()));
         }
         return new RoutingTable(
@@ -51,6 +55,12 @@
                 crashes.suspect(nowNanos));
     }
 
+    private boolean areTargetsOutdated(long nowNanos) {
+        return tableChanges != table.changes()
+                || ordersHash != orders.hash()
+                || isolated != table.isIsolated(nowNanos);
+    }
+
     private List<RouteTarget> routeTargets() {
         List<RouteTarget> found = new ArrayList<>();
         for (Member member : table.members()) {
