--- a/node/src/main/java/org/dogwoodwood/node/control/ConfigurationSource.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ConfigurationSource.java
@@ -22,6 +22,9 @@
 
         /** Takes in that a read succeeded or failed. */
         void onRead();
+
+        /** Returns how many members tell each other what they have read, this node included. */
+        int members();
     }
 
     /** Starts to read. */
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -274,6 +274,11 @@
         }
     }
 
+    @Override
+    public int members() {
+        return table.size();
+    }
+
     @Override
     public void onRead() {
         updateReadiness();
