--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -274,6 +274,11 @@
         }
     }
 
+    @Override
+    public int members() {
+        return table.size();
+    }
+
     @Override
     public void onRead() {
         updateReadiness();
@@ -284,7 +289,9 @@
         crashEvidence.merge(message.crashReports(), System.nanoTime());
         configuration.onMessage(message, configurationReader.isReachable());
         updateReadiness();
-        schedulePublish();
+        if (!message.crashReports().isEmpty() || routes.isOutdated(System.nanoTime())) {
+            schedulePublish();
+        }
     }
 
     @Override
