--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -194,14 +194,14 @@
             table.updateSelf(self.withTarget(announced), System.nanoTime());
             exchanger.requestRound();
         }
-        membership.announceIfDue(System.currentTimeMillis());
+        membership.ownRegistration().announceIfDue(System.currentTimeMillis());
     }
 
     Future<Void> announceLeaving() {
         Member self = table.self();
         MemberTarget leaving = self.target().withState(TargetState.LEAVING);
         table.updateSelf(self.withTarget(leaving), System.nanoTime());
-        membership.appendLeave();
+        membership.ownRegistration().appendLeave();
         publishNow();
         Promise<Void> told = Promise.promise();
         exchanger.requestRound();
@@ -297,7 +297,7 @@
     @Override
     public void onRound() {
         long nowMillis = System.currentTimeMillis();
-        membership.announceIfDue(nowMillis);
+        membership.ownRegistration().announceIfDue(nowMillis);
         rounds++;
         if (rounds % MAINTENANCE_ROUNDS == 0) {
             configuration.renewIfDue(nowMillis);
@@ -376,7 +376,7 @@
     }
 
     private void completeWhenRecorded(Promise<Void> told) {
-        if (!membership.isLeavePending()) {
+        if (!membership.ownRegistration().isLeavePending()) {
             told.tryComplete();
         } else if (!told.future().isComplete()) {
             vertx.setTimer(LEAVE_CHECK_MILLIS, id -> completeWhenRecorded(told));
--- a/node/src/main/java/org/dogwoodwood/node/control/MembershipKeeper.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/MembershipKeeper.java
@@ -27,17 +27,13 @@
 import org.dogwoodwood.core.model.TargetState;
 
 /**
- * Takes in the stream {@code membership} and keeps this node's records and the data centre orders
- * on it; used on the control thread.
+ * Takes in the stream {@code membership} and keeps the data centre orders and the removals of dead
+ * members on it; used on the control thread.
  */
 final class MembershipKeeper implements LogReader.EntryListener {
 
-    private static final String ANNOUNCEMENT_KEY = "announcement";
-    private static final String LEAVE_KEY = "leave";
     private static final String EXPIRY_KEY = "expiry";
-    private static final String WITHDRAWAL_KEY = "withdrawal";
     private static final String ORDER_KEY = "order/";
-    private static final double RENEWAL_JITTER = 0.1;
 
     private final ControlSettings settings;
     private final MembershipTable table;
@@ -46,19 +42,13 @@
     private final LogAppender appender;
     private final ToIntFunction<String> rankOf;
     private final Runnable orderListener;
-    private final boolean keyedCalls;
-    private final double renewalJitter;
-    private final boolean readsPause;
     private final RegistrationList registrations = RegistrationList.create();
+    private final OwnRegistration ownRegistration;
     private final Map<String, RecordedOrder> recordedOrders = new HashMap<>();
     private final Map<NodeId, Long> deadSinceMillis = new HashMap<>();
     private final List<Consumer<LogEntry>> entryListeners = new ArrayList<>();
     private final List<LongConsumer> endListeners = new ArrayList<>();
     private final List<LongConsumer> expiryListeners = new ArrayList<>();
-    private AnnouncementRecord pendingAnnouncement;
-    private Optional<AnnouncementRecord> appendedAnnouncement = Optional.empty();
-    private long appendedOffset = -1;
-    private long announcedAtMillis;
     private long sequence;
 
     MembershipKeeper(
@@ -78,9 +68,14 @@
         this.appender = appender;
         this.rankOf = rankOf;
         this.orderListener = orderListener;
-        this.keyedCalls = keyedCalls;
-        this.readsPause = settings.times().readPauseMillis() > 0;
-        this.renewalJitter = random.nextDouble() * RENEWAL_JITTER;
+        this.ownRegistration =
+                new OwnRegistration(
+                        settings, table, orders, registrations, appender, random, keyedCalls);
+    }
+
+    /** Returns this node's registration. */
+    OwnRegistration ownRegistration() {
+        return ownRegistration;
     }
 
     /** Returns the registered members. */
@@ -145,48 +140,6 @@
         return order;
     }
 
-    /** Appends this node's announcement if it is not on the log or is near its expiry. */
-    void announceIfDue(long nowMillis) {
-        Member self = table.self();
-        boolean announces =
-                self.target().isPresent() && self.target().state() != TargetState.LEAVING;
-        if (announces && keyedCalls && isOutOfService(self)) {
-            withdraw(self);
-            return;
-        }
-        if (!announces || isAnnounced(self, nowMillis)) {
-            appender.cancel(ANNOUNCEMENT_KEY);
-            return;
-        }
-        AnnouncementRecord announcement = announcementOf(self);
-        if (!appender.isPending(ANNOUNCEMENT_KEY) || !announcement.equals(pendingAnnouncement)) {
-            pendingAnnouncement = announcement;
-            String id = publicationId("announcement");
-            appender.append(
-                    ANNOUNCEMENT_KEY,
-                    LogStreams.MEMBERSHIP,
-                    id,
-                    announcement,
-                    false,
-                    offset -> onAppended(announcement, offset));
-        }
-    }
-
-    /** Appends that this node is leaving. */
-    void appendLeave() {
-        Member self = table.self();
-        appender.cancel(ANNOUNCEMENT_KEY);
-        if (self.target().isPresent()) {
-            LeaveRecord leave = new LeaveRecord(self.node().value(), self.incarnation());
-            appender.append(LEAVE_KEY, LogStreams.MEMBERSHIP, publicationId("leave"), leave, true);
-        }
-    }
-
-    /** Returns whether the record that this node is leaving still waits to be appended. */
-    boolean isLeavePending() {
-        return appender.isPending(LEAVE_KEY);
-    }
-
     /** Renews orders near the retention limit and removes members that have been dead for long. */
     void maintain(long nowMillis) {
         for (DataCentreOrder order : orders.all()) {
@@ -202,34 +155,6 @@
         }
     }
 
-    private boolean isOutOfService(Member self) {
-        return self.target().state() == TargetState.DRAINING
-                || orders.isOut(self.address().dataCentre());
-    }
-
-    /** Removes this node's registration, so that its keys move to members that take work. */
-    private void withdraw(Member self) {
-        appender.cancel(ANNOUNCEMENT_KEY);
-        boolean registered =
-                registrations
-                        .find(self.node())
-                        .filter(known -> known.incarnation() == self.incarnation())
-                        .isPresent();
-        if (!registered) {
-            appender.cancel(WITHDRAWAL_KEY);
-        } else if (!appender.isPending(WITHDRAWAL_KEY)) {
-            ExpiryRecord removal =
-                    new ExpiryRecord(
-                            self.node().value(), self.incarnation(), settings.node().value());
-            appender.append(
-                    WITHDRAWAL_KEY,
-                    LogStreams.MEMBERSHIP,
-                    publicationId("withdrawal"),
-                    removal,
-                    true);
-        }
-    }
-
     private void onAnnouncement(LogEntry entry, AnnouncementRecord announcement) {
         NodeId node = NodeId.of(announcement.node());
         registrations.onAnnouncement(
@@ -238,8 +163,7 @@
                 node.equals(settings.node())
                         && announcement.incarnation() == table.self().incarnation();
         if (own) {
-            announcedAtMillis = entry.timestampMillis();
-            appender.cancel(ANNOUNCEMENT_KEY);
+            ownRegistration.onRead(entry.timestampMillis());
             return;
         }
         // Version 0 yields to whatever the member itself has told by gossip.
@@ -290,44 +214,6 @@
         }
     }
 
-    private void onAppended(AnnouncementRecord announcement, long offset) {
-        appendedAnnouncement = Optional.of(announcement);
-        appendedOffset = offset;
-    }
-
-    /** Returns whether the log holds this announcement behind what has been read of it. */
-    private boolean isAppended(Member self) {
-        return readsPause
-                && appendedOffset > registrations.readThrough()
-                && appendedAnnouncement.equals(Optional.of(announcementOf(self)));
-    }
-
-    private boolean isAnnounced(Member self, long nowMillis) {
-        if (isAppended(self)) {
-            return true;
-        }
-        double renewAfter = settings.times().retentionMillis() * (2 / 3.0 + renewalJitter);
-        return nowMillis - announcedAtMillis <= renewAfter
-                && registrations
-                        .find(self.node())
-                        .filter(known -> known.incarnation() == self.incarnation())
-                        .filter(known -> known.service().equals(self.target().service()))
-                        .isPresent();
-    }
-
-    private static AnnouncementRecord announcementOf(Member self) {
-        return new AnnouncementRecord(
-                self.node().value(),
-                self.incarnation(),
-                self.target().service(),
-                self.address().dataCentre(),
-                self.address().host(),
-                self.address().peerPort(),
-                self.address().httpPort(),
-                self.target().slots(),
-                self.target().connections());
-    }
-
     private void appendOrder(DataCentreOrder order) {
         appender.append(
                 ORDER_KEY + order.dataCentre(),
