Close connections of targets whose answers have no end

Callers of a target in trouble got 502 or 504, which promise nothing, though the target had said that it did not run the call: the body of a refusal that never ended decided over its head. A poll of the health could last for ever, since its timeout started anew with each byte, and its body was collected without a limit; one such poll ended all polls of the target, which have one connection. Interim answers without end kept the node busy until the deadline, and a 102 was passed on as an answer.

A refusal is final with its head; its body is waited for 100 ms and 64 KiB at most, so that its connection can be used again. Polls use BoundedHttpClient, whose timer covers the whole poll. More than 16 interim answers break an exchange, and an interim status ends none. Each end but that of a whole answer closes the connection, and event 309 TARGET_ANSWER_UNUSABLE tells the reason.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
@@ -2,15 +2,20 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.net.ConnectException;
 import java.util.List;
 import java.util.function.Consumer;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.core.model.HeaderField;
+import org.dogwoodwood.node.http.BoundedHttpClient;
+import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.logging.LogEvent;
 import org.dogwoodwood.node.settings.Endpoint;
 
 /** The HTTP connections to one target: a pool for calls and one connection for polls. */
@@ -18,6 +23,7 @@
 
     private static final int CONNECT_MILLIS = 500;
     private static final int POLL_MILLIS = 1_000;
+    private static final int MAX_POLL_BYTES = 64 << 10;
 
     // A target that closes idle connections later than this never breaks a call by doing so.
     private static final int KEEP_ALIVE_SECONDS = 10;
@@ -27,24 +33,27 @@
     private final Vertx vertx;
     private final TargetProtocol protocol;
     private final Endpoint address;
+    private final EventLog log;
     private final HttpClient calls;
-    private final HttpClient polls;
+    private final BoundedHttpClient polls;
 
-    private TargetClient(Vertx vertx, TargetProtocol protocol, Endpoint address, int connections) {
+    private TargetClient(
+            Vertx vertx, TargetProtocol protocol, Endpoint address, int connections, EventLog log) {
         this.vertx = vertx;
         this.protocol = protocol;
         this.address = address;
+        this.log = log;
         // One of the target's connections is kept for polls.
         int callConnections = Math.max(1, connections - 1);
         this.calls =
                 vertx.createHttpClient(
                         options(), new PoolOptions().setHttp1MaxSize(callConnections));
-        this.polls = vertx.createHttpClient(options(), new PoolOptions().setHttp1MaxSize(1));
+        this.polls = BoundedHttpClient.create(vertx, options(), 1, MAX_POLL_BYTES);
     }
 
     static TargetClient create(
-            Vertx vertx, TargetProtocol protocol, Endpoint address, int connections) {
-        return new TargetClient(vertx, protocol, address, connections);
+            Vertx vertx, TargetProtocol protocol, Endpoint address, int connections, EventLog log) {
+        return new TargetClient(vertx, protocol, address, connections, log);
     }
 
     TargetExchange send(
@@ -54,26 +63,29 @@
             long timeoutMillis,
             Consumer<TargetResult> listener) {
         TargetExchange exchange =
-                new TargetExchange(vertx, protocol, frame, extraHeaders, maxAnswerBytes, listener);
+                new TargetExchange(
+                        vertx,
+                        protocol,
+                        frame,
+                        extraHeaders,
+                        maxAnswerBytes,
+                        this::onFault,
+                        listener);
         exchange.start(calls, requestOptions(), timeoutMillis);
         return exchange;
     }
 
-    /** Fetches a small document; fails if the target does not answer. */
+    /** Fetches a small document; fails if the target does not answer whole and in time. */
     Future<PollAnswer> poll(String path) {
-        RequestOptions options =
-                requestOptions().setMethod(HttpMethod.GET).setURI(path).setTimeout(POLL_MILLIS);
-        return polls.request(options)
-                .compose(request -> request.idleTimeout(POLL_MILLIS).send())
-                .compose(
-                        response ->
-                                response.body()
-                                        .map(
-                                                body ->
-                                                        new PollAnswer(
-                                                                response.statusCode(),
-                                                                response.headers(),
-                                                                body.toString())));
+        RequestOptions options = requestOptions().setMethod(HttpMethod.GET).setURI(path);
+        return polls.send(options, Buffer.buffer(), POLL_MILLIS)
+                .map(
+                        answer ->
+                                new PollAnswer(
+                                        answer.status(),
+                                        answer.headers(),
+                                        answer.body().toString()))
+                .onFailure(this::onFailedPoll);
     }
 
     void close() {
@@ -81,6 +93,16 @@
         polls.close();
     }
 
+    private void onFailedPoll(Throwable failure) {
+        if (!(failure instanceof ConnectException)) {
+            onFault("A poll failed: " + failure + ".");
+        }
+    }
+
+    private void onFault(String reason) {
+        log.write(LogEvent.TARGET_ANSWER_UNUSABLE, "address", address, "reason", reason);
+    }
+
     private RequestOptions requestOptions() {
         return new RequestOptions().setHost(address.host()).setPort(address.port());
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -17,28 +17,43 @@
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.core.model.TargetAnswer;
 import org.dogwoodwood.node.http.Headers;
+import org.dogwoodwood.node.http.InterimAnswers;
 
 /** One HTTP exchange with the target, which ends exactly once. */
 final class TargetExchange {
 
+    // A target may use the connection again that has sent a refusal whole.
+    private static final int REFUSAL_BODY_MILLIS = 100;
+    private static final int REFUSAL_BODY_BYTES = 64 << 10;
+
     private final Vertx vertx;
     private final TargetProtocol protocol;
     private final CallFrame frame;
     private final RequestContent content;
     private final List<HeaderField> extraHeaders;
     private final int maxAnswerBytes;
+    private final Consumer<String> faults;
     private final Consumer<TargetResult> listener;
     private final Buffer answerBody = Buffer.buffer();
     private HttpClientRequest request;
+    private HttpClientResponse response;
+    private Optional<TargetResult> refusal = Optional.empty();
     private long timer = -1;
     private boolean ended;
 
+    /**
+     * Creates an exchange that is not started.
+     *
+     * @param faults is told why an answer could not be used
+     * @param listener is told how the exchange ended
+     */
     TargetExchange(
             Vertx vertx,
             TargetProtocol protocol,
             CallFrame frame,
             List<HeaderField> extraHeaders,
             int maxAnswerBytes,
+            Consumer<String> faults,
             Consumer<TargetResult> listener) {
         this.vertx = vertx;
         this.protocol = protocol;
@@ -46,6 +61,7 @@
         this.content = frame.request();
         this.extraHeaders = extraHeaders;
         this.maxAnswerBytes = maxAnswerBytes;
+        this.faults = faults;
         this.listener = listener;
     }
 
@@ -58,7 +74,7 @@
                             if (request == null) {
                                 abort(FinishedCall.notRun(ErrorCode.DEADLINE_TOO_SHORT));
                             } else {
-                                abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED));
+                                onDeadline();
                             }
                         });
         options.setMethod(HttpMethod.valueOf(content.method())).setURI(content.path());
@@ -69,14 +85,7 @@
 
     /** Ends the exchange and closes its connection, which tells the target to stop. */
     void abort(FinishedCall finished) {
-        if (ended) {
-            return;
-        }
-        HttpClientRequest sent = request;
-        end(TargetResult.aborted(finished));
-        if (sent != null) {
-            sent.reset();
-        }
+        breakOff(TargetResult.aborted(finished));
     }
 
     /** Returns whether the request may have reached the target. */
@@ -85,7 +94,8 @@
     }
 
     private void send(HttpClientRequest opened) {
-        opened.exceptionHandler(failure -> end(TargetResult.broken()));
+        opened.exceptionHandler(this::onBroken);
+        InterimAnswers.limit(opened, this::onBroken);
         if (ended) {
             opened.reset();
             return;
@@ -100,7 +110,7 @@
         boolean empty = content.body().length == 0 && !sendsEmptyBody(content.method());
         (empty ? opened.send() : opened.send(Buffer.buffer(content.body())))
                 .onSuccess(this::receive)
-                .onFailure(failure -> end(TargetResult.broken()));
+                .onFailure(this::onBroken);
     }
 
     // RFC 9110, section 8.6: a method that anticipates content sends Content-Length: 0.
@@ -108,39 +118,84 @@
         return method.equals("POST") || method.equals("PUT") || method.equals("PATCH");
     }
 
-    private void receive(HttpClientResponse response) {
+    private void receive(HttpClientResponse received) {
+        if (ended) {
+            return;
+        }
+        response = received;
         TargetProtocol.Reading reading =
                 protocol.read(frame, response.statusCode(), response.headers());
-        if (reading == TargetProtocol.Reading.FOREIGN) {
+        if (reading == TargetProtocol.Reading.FOREIGN
+                || InterimAnswers.isInterim(response.statusCode())) {
             // The answer to this call may follow, but the connection can no longer be trusted.
-            end(TargetResult.broken());
-            request.reset();
+            faults.accept("The answer belongs to another call or is none of the target.");
+            breakOff(TargetResult.broken());
+            return;
+        }
+        if (reading == TargetProtocol.Reading.NOT_RUN) {
+            onRefusal();
+        }
+        response.exceptionHandler(this::onBroken);
+        response.handler(this::onBody);
+        response.endHandler(ignored -> end(refusal.orElseGet(this::answered)));
+    }
+
+    /** The head of a refusal is final, so that its body may not hold the call up. */
+    private void onRefusal() {
+        TargetResult result = TargetResult.refused().withCondition(condition());
+        refusal = Optional.of(result);
+        vertx.setTimer(REFUSAL_BODY_MILLIS, ignored -> breakOff(result));
+    }
+
+    private void onBody(Buffer chunk) {
+        if (ended) {
+            return;
+        }
+        int limit = refusal.isPresent() ? REFUSAL_BODY_BYTES : maxAnswerBytes;
+        if (answerBody.length() + chunk.length() > limit) {
+            faults.accept("The body of the answer has more than " + limit + " bytes.");
+            abort(FinishedCall.unknown(ErrorCode.ANSWER_TOO_LARGE));
+        } else {
+            answerBody.appendBuffer(chunk);
+        }
+    }
+
+    private void onDeadline() {
+        if (response != null && !ended) {
+            faults.accept("The body of the answer has not ended at the deadline of the call.");
+        }
+        abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED));
+    }
+
+    private void onBroken(Throwable failure) {
+        if (!ended) {
+            faults.accept("The connection broke or the answer breaks HTTP: " + failure + ".");
+        }
+        breakOff(TargetResult.broken());
+    }
+
+    private TargetResult answered() {
+        boolean head = content.method().equals("HEAD");
+        List<HeaderField> headers = Headers.endToEnd(response.headers(), head);
+        byte[] body = answerBody.getBytes();
+        return TargetResult.answered(TargetAnswer.of(response.statusCode(), headers, body))
+                .withCondition(condition());
+    }
+
+    private Optional<TargetCondition> condition() {
+        return protocol.conditionOf(response.headers());
+    }
+
+    /** Ends the exchange and closes its connection; a refusal that has come stays the result. */
+    private void breakOff(TargetResult result) {
+        if (ended) {
             return;
         }
-        response.exceptionHandler(failure -> end(TargetResult.broken()));
-        response.handler(
-                chunk -> {
-                    if (!ended && answerBody.length() + chunk.length() > maxAnswerBytes) {
-                        abort(FinishedCall.unknown(ErrorCode.ANSWER_TOO_LARGE));
-                    } else if (!ended) {
-                        answerBody.appendBuffer(chunk);
-                    }
-                });
-        response.endHandler(
-                ignored -> {
-                    Optional<TargetCondition> condition = protocol.conditionOf(response.headers());
-                    if (reading == TargetProtocol.Reading.NOT_RUN) {
-                        end(TargetResult.refused().withCondition(condition));
-                        return;
-                    }
-                    boolean head = content.method().equals("HEAD");
-                    List<HeaderField> headers = Headers.endToEnd(response.headers(), head);
-                    byte[] body = answerBody.getBytes();
-                    end(
-                            TargetResult.answered(
-                                            TargetAnswer.of(response.statusCode(), headers, body))
-                                    .withCondition(condition));
-                });
+        HttpClientRequest sent = request;
+        end(refusal.orElse(result));
+        if (sent != null) {
+            sent.reset();
+        }
     }
 
     private void end(TargetResult result) {
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -101,7 +101,7 @@
             if (client != null) {
                 client.close();
             }
-            client = TargetClient.create(vertx, protocol, next.address(), next.connections());
+            client = TargetClient.create(vertx, protocol, next.address(), next.connections(), log);
             reportedIncarnation = Optional.empty();
             tellsSpeed = false;
             pollPath = 0;
--- a/node/src/main/java/org/dogwoodwood/node/http/AnswerTooLargeException.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/AnswerTooLargeException.java
@@ -1,11 +1,21 @@
 package org.dogwoodwood.node.http;
 
-/** The body of an answer is larger than the reader accepts; its connection has been closed. */
+/** An answer is larger than the reader accepts; its connection has been closed. */
 public final class AnswerTooLargeException extends RuntimeException {
 
     private static final long serialVersionUID = 1L;
 
-    AnswerTooLargeException(int maxBytes) {
-        super("the body of the answer has more than " + maxBytes + " bytes");
+    private AnswerTooLargeException(String message) {
+        super(message);
+    }
+
+    static AnswerTooLargeException bodyAbove(int maxBytes) {
+        return new AnswerTooLargeException(
+                "the body of the answer has more than " + maxBytes + " bytes");
+    }
+
+    static AnswerTooLargeException tooManyInterim(int maxCount) {
+        return new AnswerTooLargeException(
+                "more than " + maxCount + " interim answers came before the answer");
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/http/BoundedExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/BoundedExchange.java
@@ -37,6 +37,7 @@
 
     private void send(HttpClientRequest opened, Buffer body) {
         opened.exceptionHandler(this::fail);
+        InterimAnswers.limit(opened, this::fail);
         request = opened;
         if (ended) {
             opened.reset();
@@ -46,6 +47,10 @@
     }
 
     private void receive(HttpClientResponse response) {
+        if (InterimAnswers.isInterim(response.statusCode())) {
+            fail(new IllegalArgumentException("status " + response.statusCode() + " ends no call"));
+            return;
+        }
         response.exceptionHandler(this::fail);
         response.handler(this::onBody);
         response.endHandler(
@@ -62,7 +67,7 @@
             return;
         }
         if (content.length() + chunk.length() > maxBodyBytes) {
-            fail(new AnswerTooLargeException(maxBodyBytes));
+            fail(AnswerTooLargeException.bodyAbove(maxBodyBytes));
         } else {
             content.appendBuffer(chunk);
         }
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -31,6 +31,8 @@
     POLL_MALFORMED(307, Severity.WARNING, "The target's load report cannot be read."),
     ANNOUNCEMENT_IGNORED(
             308, Severity.WARNING, "An announcement is outdated or of another service."),
+    TARGET_ANSWER_UNUSABLE(
+            309, Severity.WARNING, "An answer of the target broke off, breaks HTTP or a limit."),
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
--- a/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
@@ -10,6 +10,7 @@
 final class SelfAnnouncingProtocol implements TargetProtocol {
 
     static final String SLOWDOWN = "Slowdown";
+    static final String READING = "Reading";
 
     private final DefaultTargetProtocol usual = DefaultTargetProtocol.create();
 
@@ -26,7 +27,8 @@
 
     @Override
     public Reading read(CallFrame frame, int status, MultiMap headers) {
-        return usual.read(frame, status, headers);
+        String told = headers.get(READING);
+        return told == null ? usual.read(frame, status, headers) : Reading.valueOf(told);
     }
 
     @Override
--- a/standins/src/main/java/org/dogwoodwood/standins/endless/EndlessServer.java
+++ b/standins/src/main/java/org/dogwoodwood/standins/endless/EndlessServer.java
@@ -23,7 +23,6 @@
     private final int pauseMillis;
     private final NetServer server;
     private final AtomicInteger open = new AtomicInteger();
-    private final AtomicInteger connections = new AtomicInteger();
     private final AtomicLong sentBytes = new AtomicLong();
 
     private EndlessServer(Vertx vertx, String beginning, String part, int pauseMillis) {
@@ -53,31 +52,23 @@
         return server.actualPort();
     }
 
-    /** Returns how many connections are open. */
+    /** Returns how many connections carry an endless answer. */
     public int open() {
         return open.get();
     }
 
-    /** Returns how many connections have been opened. */
-    public int connections() {
-        return connections.get();
-    }
-
     /** Returns how many bytes of endless answers have been sent. */
     public long sentBytes() {
         return sentBytes.get();
     }
 
     private void onConnection(NetSocket socket) {
-        open.incrementAndGet();
-        connections.incrementAndGet();
         Stream stream = new Stream(socket);
         socket.handler(stream::onBytes);
         socket.exceptionHandler(ignored -> socket.close());
         socket.closeHandler(
                 ignored -> {
-                    stream.closed = true;
-                    open.decrementAndGet();
+                    stream.onClosed();
                 });
     }
 
@@ -101,10 +92,18 @@
                 return;
             }
             started = true;
+            open.incrementAndGet();
             write(beginning);
             send();
         }
 
+        void onClosed() {
+            closed = true;
+            if (started) {
+                open.decrementAndGet();
+            }
+        }
+
         private void send() {
             if (closed || part.isEmpty()) {
                 return;
