--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -33,6 +33,7 @@
             308, Severity.WARNING, "An announcement is outdated or of another service."),
     TARGET_ANSWER_UNUSABLE(
             309, Severity.WARNING, "An answer of the target broke off, breaks HTTP or a limit."),
+    ANNOUNCEMENT_REFUSED(310, Severity.WARNING, "A heartbeat passed a limit and is refused."),
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
