--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -19,6 +19,7 @@
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.core.model.TargetAnswer;
 import org.dogwoodwood.node.http.Headers;
+import org.dogwoodwood.node.http.InterimAnswers;
 import org.dogwoodwood.node.loop.ReadFirstQueue;
 
 /** One HTTP exchange with the target, which ends exactly once. */
@@ -28,6 +29,10 @@
     // nothing has come from the ingress for this much longer, because the ingress is gone.
     private static final int LOST_INGRESS_MILLIS = 250;
 
+    // A target may use the connection again that has sent a refusal whole.
+    private static final int REFUSAL_BODY_MILLIS = 100;
+    private static final int REFUSAL_BODY_BYTES = 64 << 10;
+
     private final Vertx vertx;
     private final ReadFirstQueue starts;
     private final TargetProtocol protocol;
@@ -35,14 +40,23 @@
     private final RequestContent content;
     private final List<HeaderField> extraHeaders;
     private final int maxAnswerBytes;
+    private final Consumer<String> faults;
     private final Consumer<TargetResult> listener;
     private final Buffer answerBody = Buffer.buffer();
     private HttpClientRequest request;
+    private HttpClientResponse response;
+    private Optional<TargetResult> refusal = Optional.empty();
     private long timer = -1;
     private boolean overdue;
     private boolean connectionLost;
     private boolean ended;
 
+    /**
+     * Creates an exchange that is not started.
+     *
+     * @param faults is told why an answer could not be used
+     * @param listener is told how the exchange ended
+     */
     TargetExchange(
             Vertx vertx,
             ReadFirstQueue starts,
@@ -50,6 +64,7 @@
             CallFrame frame,
             List<HeaderField> extraHeaders,
             int maxAnswerBytes,
+            Consumer<String> faults,
             Consumer<TargetResult> listener) {
         this.vertx = vertx;
         this.starts = starts;
@@ -58,6 +73,7 @@
         this.content = frame.request();
         this.extraHeaders = extraHeaders;
         this.maxAnswerBytes = maxAnswerBytes;
+        this.faults = faults;
         this.listener = listener;
     }
 
@@ -86,14 +102,7 @@
 
     /** Ends the exchange and closes its connection, which tells the target to stop. */
     void abort(FinishedCall finished) {
-        if (ended) {
-            return;
-        }
-        HttpClientRequest sent = request;
-        end(TargetResult.aborted(finished));
-        if (sent != null) {
-            sent.reset();
-        }
+        breakOff(TargetResult.aborted(finished));
     }
 
     /** Returns whether the request may have reached the target. */
@@ -107,10 +116,7 @@
             abort(FinishedCall.notRun(ErrorCode.DEADLINE_TOO_SHORT));
             return;
         }
-        timer =
-                vertx.setTimer(
-                        LOST_INGRESS_MILLIS,
-                        ignored -> abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED)));
+        timer = vertx.setTimer(LOST_INGRESS_MILLIS, ignored -> onIngressLost());
     }
 
     private void connect(Supplier<Future<HttpClientRequest>> connector, boolean mayBeIdle) {
@@ -119,20 +125,13 @@
                 .onSuccess(
                         opened -> {
                             connectionLost = false;
-                            opened.exceptionHandler(failure -> onConnectionLost());
+                            opened.exceptionHandler(failure -> connectionLost = true);
                             // A cancel, or the end of an idle connection, may be unread.
                             starts.execute(() -> sendOrReconnect(opened, connector, mayBeIdle));
                         })
                 .onFailure(failure -> end(TargetResult.connectFailed()));
     }
 
-    private void onConnectionLost() {
-        connectionLost = true;
-        if (isSent()) {
-            end(TargetResult.broken());
-        }
-    }
-
     private void sendOrReconnect(
             HttpClientRequest opened,
             Supplier<Future<HttpClientRequest>> connector,
@@ -147,6 +146,8 @@
     }
 
     private void send(HttpClientRequest opened) {
+        opened.exceptionHandler(this::onBroken);
+        InterimAnswers.limit(opened, this::onBroken);
         if (ended) {
             opened.reset();
             return;
@@ -161,7 +162,7 @@
         boolean empty = content.body().length == 0 && !sendsEmptyBody(content.method());
         (empty ? opened.send() : opened.send(Buffer.buffer(content.body())))
                 .onSuccess(this::receive)
-                .onFailure(failure -> end(TargetResult.broken()));
+                .onFailure(this::onBroken);
     }
 
     // RFC 9110, section 8.6: a method that anticipates content sends Content-Length: 0.
@@ -169,39 +170,84 @@
         return method.equals("POST") || method.equals("PUT") || method.equals("PATCH");
     }
 
-    private void receive(HttpClientResponse response) {
+    private void receive(HttpClientResponse received) {
+        if (ended) {
+            return;
+        }
+        response = received;
         TargetProtocol.Reading reading =
                 protocol.read(frame, response.statusCode(), response.headers());
-        if (reading == TargetProtocol.Reading.FOREIGN) {
+        if (reading == TargetProtocol.Reading.FOREIGN
+                || InterimAnswers.isInterim(response.statusCode())) {
             // The answer to this call may follow, but the connection can no longer be trusted.
-            end(TargetResult.broken());
-            request.reset();
+            faults.accept("The answer belongs to another call or is none of the target.");
+            breakOff(TargetResult.broken());
             return;
         }
-        response.exceptionHandler(failure -> end(TargetResult.broken()));
-        response.handler(
-                chunk -> {
-                    if (!ended && answerBody.length() + chunk.length() > maxAnswerBytes) {
-                        abort(FinishedCall.unknown(ErrorCode.ANSWER_TOO_LARGE));
-                    } else if (!ended) {
-                        answerBody.appendBuffer(chunk);
-                    }
-                });
-        response.endHandler(
-                ignored -> {
-                    Optional<TargetCondition> condition = protocol.conditionOf(response.headers());
-                    if (reading == TargetProtocol.Reading.NOT_RUN) {
-                        end(TargetResult.refused().withCondition(condition));
-                        return;
-                    }
-                    boolean head = content.method().equals("HEAD");
-                    List<HeaderField> headers = Headers.endToEnd(response.headers(), head);
-                    byte[] body = answerBody.getBytes();
-                    end(
-                            TargetResult.answered(
-                                            TargetAnswer.of(response.statusCode(), headers, body))
-                                    .withCondition(condition));
-                });
+        if (reading == TargetProtocol.Reading.NOT_RUN) {
+            onRefusal();
+        }
+        response.exceptionHandler(this::onBroken);
+        response.handler(this::onBody);
+        response.endHandler(ignored -> end(refusal.orElseGet(this::answered)));
+    }
+
+    /** The head of a refusal is final, so that its body may not hold the call up. */
+    private void onRefusal() {
+        TargetResult result = TargetResult.refused().withCondition(condition());
+        refusal = Optional.of(result);
+        vertx.setTimer(REFUSAL_BODY_MILLIS, ignored -> breakOff(result));
+    }
+
+    private void onBody(Buffer chunk) {
+        if (ended) {
+            return;
+        }
+        int limit = refusal.isPresent() ? REFUSAL_BODY_BYTES : maxAnswerBytes;
+        if (answerBody.length() + chunk.length() > limit) {
+            faults.accept("The body of the answer has more than " + limit + " bytes.");
+            abort(FinishedCall.unknown(ErrorCode.ANSWER_TOO_LARGE));
+        } else {
+            answerBody.appendBuffer(chunk);
+        }
+    }
+
+    private void onIngressLost() {
+        if (response != null && !ended) {
+            faults.accept("The body of the answer has not ended at the deadline of the call.");
+        }
+        abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED));
+    }
+
+    private void onBroken(Throwable failure) {
+        if (!ended) {
+            faults.accept("The connection broke or the answer breaks HTTP: " + failure + ".");
+        }
+        breakOff(TargetResult.broken());
+    }
+
+    private TargetResult answered() {
+        boolean head = content.method().equals("HEAD");
+        List<HeaderField> headers = Headers.endToEnd(response.headers(), head);
+        byte[] body = answerBody.getBytes();
+        return TargetResult.answered(TargetAnswer.of(response.statusCode(), headers, body))
+                .withCondition(condition());
+    }
+
+    private Optional<TargetCondition> condition() {
+        return protocol.conditionOf(response.headers());
+    }
+
+    /** Ends the exchange and closes its connection; a refusal that has come stays the result. */
+    private void breakOff(TargetResult result) {
+        if (ended) {
+            return;
+        }
+        HttpClientRequest sent = request;
+        end(refusal.orElse(result));
+        if (sent != null) {
+            sent.reset();
+        }
     }
 
     private void end(TargetResult result) {
