Take the wait for a connection off the deadline of a call

The time that is left was written into a CALL frame when the attempt was made, and the frame was sent when the connection was open, up to 500 ms later. The guard and the target then worked for that much longer than the caller waits. The frame is now written with the time that is left when it is sent.

PeerProtocolTests.takesTheTimeThatACallWaitsForItsConnectionOffItsDeadline: with a connection that takes 300 ms, the frame told 1953 ms of a deadline of 2000 ms on the code before.

--- a/codec/src/main/java/org/dogwoodwood/codec/wire/CallFrame.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/CallFrame.java
@@ -65,6 +65,27 @@
                 mayQueue);
     }
 
+    /** Returns the same call after it has waited for a time, in nanoseconds, to be sent. */
+    public CallFrame afterWaiting(long nanos) {
+        long waitedMillis = nanos / NANOS_PER_MILLI;
+        if (waitedMillis <= 0) {
+            return this;
+        }
+        return new CallFrame(
+                id,
+                expectedIncarnation,
+                service,
+                callClass,
+                request,
+                Math.max(0, remainingMillis - waitedMillis),
+                Math.max(0, objectiveMillis - waitedMillis),
+                idempotent,
+                key,
+                depth,
+                fingerprint,
+                mayQueue);
+    }
+
     @Override
     public int type() {
         return TYPE;
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
@@ -276,7 +276,7 @@
 
     private void write(PendingAttempt attempt) {
         try {
-            link.send(attempt.frame());
+            link.send(attempt.frameToSend());
             attempt.markWritten();
         } catch (DogwoodwoodException e) {
             finish(attempt, AttemptAnswer.notRun(ErrorCode.REQUEST_TOO_LARGE));
--- a/node/src/main/java/org/dogwoodwood/node/peer/PendingAttempt.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PendingAttempt.java
@@ -11,6 +11,7 @@
 
     private final NodeId guard;
     private final CallFrame frame;
+    private final long createdNanos = System.nanoTime();
     private final Promise<AttemptAnswer> promise = Promise.promise();
     private boolean written;
 
@@ -23,6 +24,11 @@
         return frame;
     }
 
+    /** Returns the frame with the time that is left after waiting for the connection. */
+    CallFrame frameToSend() {
+        return frame.afterWaiting(System.nanoTime() - createdNanos);
+    }
+
     Future<AttemptAnswer> future() {
         return promise.future();
     }
--- a/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.dogwoodwood.codec.wire.AnswerFrame;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.codec.wire.ControlFrame;
@@ -43,6 +44,9 @@
 /** Guards against peers that break the protocol and against answers given to the wrong call. */
 class PeerProtocolTests {
 
+    // Below the time after which a peer without HELLO is given up.
+    private static final long SLOW_CONNECT_MILLIS = 300;
+
     private final TestInstallation installation = new TestInstallation();
 
     @AfterEach
@@ -130,6 +134,25 @@
         assertThat(pings.get() - first).isBetween(1, 3);
     }
 
+    /** Guards against a guard working for a caller that has left after a slow connect. */
+    @Test
+    void takesTheTimeThatACallWaitsForItsConnectionOffItsDeadline() {
+        AtomicLong remainingMillis = new AtomicLong();
+        Endpoint fake =
+                fakeGuard(
+                        (socket, call) -> {
+                            remainingMillis.set(call.remainingMillis());
+                            answerTwice(socket, call);
+                        });
+        Endpoint slow = acceptingAfter(SLOW_CONNECT_MILLIS, fake);
+        TestNode ingress = installation.ingress("ingress");
+        installation.route(route(slow));
+
+        // The deadline of the service is 2 s.
+        assertThat(installation.post(ingress, "/echo", "x").statusCode()).isEqualTo(200);
+        assertThat(remainingMillis.get()).isBetween(1L, 2_000L - SLOW_CONNECT_MILLIS);
+    }
+
     @Test
     void refusesPeersWithoutTheSharedSecret() {
         installation.setSecret("right");
@@ -196,6 +219,28 @@
         void onCall(NetSocket socket, CallFrame call);
     }
 
+    /** Returns the address of a proxy that passes the bytes on only some time after a connect. */
+    private Endpoint acceptingAfter(long millis, Endpoint guard) {
+        var vertx = installation.vertx();
+        var server = vertx.createNetServer();
+        server.connectHandler(
+                socket -> {
+                    socket.pause();
+                    vertx.setTimer(
+                            millis,
+                            ignored ->
+                                    vertx.createNetClient()
+                                            .connect(guard.port(), guard.host())
+                                            .onSuccess(
+                                                    other -> {
+                                                        other.handler(socket::write);
+                                                        socket.handler(other::write);
+                                                        socket.resume();
+                                                    }));
+                });
+        return Endpoint.of("127.0.0.1", Waiting.get(server.listen(0, "127.0.0.1")).actualPort());
+    }
+
     private Endpoint fakeGuard(CallListener listener) {
         return fakeGuard(listener, new AtomicInteger());
     }
