Move how calls wait at a guard out of Guard

WaitingCalls now keeps the calls that have not started, offers them to admission and ends those that should wait no longer.

--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -14,7 +14,6 @@
 import org.dogwoodwood.codec.wire.ResumeFrame;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.admission.AdmissionController;
-import org.dogwoodwood.core.admission.AdmissionDecision;
 import org.dogwoodwood.core.admission.TargetCapacity;
 import org.dogwoodwood.core.calls.AttemptId;
 import org.dogwoodwood.core.calls.CallRegistry;
@@ -39,7 +38,6 @@
 public final class Guard implements CallHandler {
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    private static final int QUEUE_TICK_MILLIS = 5;
     private static final int ORDER_TICK_MILLIS = 100;
 
     // Senders are told at once when the target's time passes this multiple of the usual one.
@@ -56,6 +54,7 @@
     private final AdmissionHolder admission;
     private final TargetMonitor monitor;
     private final SpeedWatch speeds;
+    private final WaitingCalls waiting;
     private final SuspectRequests suspects = new SuspectRequests();
     private final NodeMetrics metrics;
     private final AttemptLog attempts;
@@ -65,7 +64,6 @@
     private Consumer<LoadReport> reportListener = report -> {};
     private boolean leaving;
     private boolean dataCentreOut;
-    private boolean tickScheduled;
     private long reportSequence;
 
     private Guard(
@@ -91,6 +89,9 @@
                 new TargetMonitor(
                         vertx, protocol, services::healthPath, budget, log, new TargetListener());
         this.speeds = new SpeedWatch(vertx, monitor, admission::get);
+        this.waiting =
+                new WaitingCalls(
+                        vertx, admission, speeds, this::startRefusal, new WaitingListener());
     }
 
     /**
@@ -144,8 +145,7 @@
         leaving = true;
         for (GuardedCall call : List.copyOf(calls.values())) {
             if (!call.isAdmitted()) {
-                speeds.forget(call);
-                admission.get().cancelQueued(call.id().call(), call.id().attempt());
+                waiting.forget(call);
                 end(call, FinishedCall.notRun(ErrorCode.TARGET_DRAINING));
             }
         }
@@ -221,7 +221,7 @@
                     exchange.isSent()
                             ? FinishedCall.unknown(ErrorCode.OUTCOME_UNKNOWN)
                             : FinishedCall.notRun(ErrorCode.CANCELLED));
-        } else if (speeds.forget(call) || admission.get().cancelQueued(id.call(), id.attempt())) {
+        } else if (waiting.forget(call)) {
             end(call, FinishedCall.notRun(ErrorCode.CANCELLED));
         }
     }
@@ -265,22 +265,7 @@
         }
         GuardedCall call = new GuardedCall(frame, description, keyed, listener);
         calls.put(call.id(), call);
-        if (speeds.delays(call, nowNanos)) {
-            scheduleTick();
-        } else {
-            offer(call, nowNanos);
-        }
-    }
-
-    private void offer(GuardedCall call, long nowNanos) {
-        CallDescription description = call.description();
-        AdmissionDecision decision = admission.get().offer(description, nowNanos);
-        switch (decision.kind()) {
-            case START -> startNow(call, nowNanos);
-            case REFUSE -> end(call, FinishedCall.notRun(decision.refusal().get()));
-            // pump starts it when a slot is free, or tick ends it when its time is over.
-            default -> scheduleTick();
-        }
+        waiting.add(call, nowNanos);
     }
 
     /** Repeats all checks, since anything may have changed while the call was queued. */
@@ -341,7 +326,7 @@
         }
         end(call, result.finished());
         monitor.onCallEnded(result.kind());
-        pump(nowNanos);
+        waiting.startQueued(nowNanos);
     }
 
     private void onCondition(TargetCondition told, long nowNanos) {
@@ -373,57 +358,6 @@
         completeIfIdle();
     }
 
-    private void pump(long nowNanos) {
-        Optional<CallDescription> next = admission.get().nextStartable(nowNanos);
-        while (next.isPresent()) {
-            CallDescription started = next.get();
-            startNow(calls.get(AttemptId.of(started.id(), started.attempt())), nowNanos);
-            next = admission.get().nextStartable(nowNanos);
-        }
-        endQueued(admission.get().removeExpired(nowNanos), ErrorCode.DEADLINE_TOO_SHORT);
-        endQueued(admission.get().removeMovable(nowNanos), ErrorCode.GUARD_BUSY);
-    }
-
-    private void endQueued(List<CallDescription> removed, ErrorCode code) {
-        for (CallDescription queued : removed) {
-            end(calls.get(AttemptId.of(queued.id(), queued.attempt())), FinishedCall.notRun(code));
-        }
-    }
-
-    private void offerAll() {
-        long nowNanos = System.nanoTime();
-        for (GuardedCall call : speeds.takeDelayed()) {
-            Optional<ErrorCode> refusal = startRefusal(call, nowNanos);
-            if (refusal.isPresent()) {
-                end(call, FinishedCall.notRun(refusal.get()));
-            } else {
-                offer(call, nowNanos);
-            }
-        }
-    }
-
-    private void scheduleTick() {
-        if (!tickScheduled) {
-            tickScheduled = true;
-            vertx.setTimer(QUEUE_TICK_MILLIS, ignored -> tick());
-        }
-    }
-
-    private void tick() {
-        tickScheduled = false;
-        long nowNanos = System.nanoTime();
-        if (speeds.isOverdue(nowNanos)) {
-            offerAll();
-        }
-        if (admission.get().queued() > 0) {
-            speeds.pollIfHolding(nowNanos);
-            pump(nowNanos);
-        }
-        if (speeds.isDelaying() || admission.get().queued() > 0) {
-            scheduleTick();
-        }
-    }
-
     private void checkOrder() {
         boolean out = control.routingTable().ownDataCentreOut();
         if (dataCentreOut && !out) {
@@ -462,6 +396,19 @@
                                         state()));
     }
 
+    private final class WaitingListener implements WaitingCalls.Listener {
+
+        @Override
+        public void onAdmitted(GuardedCall call, long nowNanos) {
+            startNow(call, nowNanos);
+        }
+
+        @Override
+        public void onRefused(GuardedCall call, ErrorCode code) {
+            end(call, FinishedCall.notRun(code));
+        }
+    }
+
     private final class TargetListener implements TargetMonitor.Listener {
 
         @Override
@@ -469,7 +416,7 @@
             long nowNanos = System.nanoTime();
             admission.onCapacity(
                     monitor.announcement().orElseThrow().service(), capacity, nowNanos);
-            pump(nowNanos);
+            waiting.startQueued(nowNanos);
         }
 
         @Override
@@ -484,8 +431,7 @@
 
         @Override
         public void onPolled() {
-            offerAll();
-            pump(System.nanoTime());
+            waiting.onPolled();
         }
 
         @Override
