Log how long an attempt waited, ran, and how slow its target was at the start

Refusals by full guards could be counted, but not what filled the slots: the logs had neither the time that an attempt waited and ran nor the speed of the target when it started, and attempts that a target answered late or with an error were not logged by its guard. The guard now logs these as GUARD_ANSWERED, its lines have class, depth, wait_ms, service_ms and slowdown_at_start, and CALL_ANSWERED has the class.

--- a/node/src/main/java/org/dogwoodwood/node/guard/AttemptLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/AttemptLog.java
@@ -1,6 +1,7 @@
 package org.dogwoodwood.node.guard;
 
 import java.util.Objects;
+import java.util.Optional;
 import org.dogwoodwood.core.admission.AdmissionController;
 import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.model.Outcome;
@@ -8,10 +9,11 @@
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
 
-/** Logs the attempts that a guard ends without an answer of its target, and what decided it. */
+/** Logs the attempts that a guard refuses or that end late or badly, and what decided it. */
 final class AttemptLog {
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int SERVER_ERROR = 500;
 
     private final EventLog log;
     private final TargetProtocol protocol;
@@ -21,24 +23,33 @@
         this.protocol = Objects.requireNonNull(protocol, "protocol");
     }
 
-    /** Writes the end of an attempt that has an error. */
+    /** Writes the end of an attempt, unless the target answered well and in time. */
     void write(
             GuardedCall call,
             FinishedCall finished,
             TargetState state,
             AdmissionController admission,
             long nowNanos) {
-        boolean refused = finished.outcome() == Outcome.NOT_RUN;
+        Optional<LogEvent> event = eventOf(call, finished, nowNanos);
+        if (event.isEmpty()) {
+            return;
+        }
         log.write(
-                refused ? LogEvent.GUARD_REFUSED : LogEvent.GUARD_ENDED,
+                event.get(),
                 "request",
                 protocol.requestIdOf(call.frame()).orElseGet(() -> call.id().call().toString()),
                 "ingress",
                 call.id().call().ingress(),
+                "class",
+                call.description().callClass(),
+                "depth",
+                call.description().depth(),
                 "attempt",
                 call.id().attempt(),
-                "error",
-                finished.error().orElseThrow(),
+                finished.error().isPresent() ? "error" : "status",
+                finished.error().isPresent()
+                        ? finished.error().get()
+                        : finished.answer().orElseThrow().status(),
                 "state",
                 state,
                 "in_flight",
@@ -49,7 +60,26 @@
                 admission.limit(),
                 "slowdown",
                 admission.slowdown(nowNanos),
+                "slowdown_at_start",
+                call.slowdownAtStart(),
+                "wait_ms",
+                call.waitNanos(nowNanos) / NANOS_PER_MILLI,
+                "service_ms",
+                call.isAdmitted() ? call.serviceTimeNanos(nowNanos) / NANOS_PER_MILLI : 0,
                 "left_ms",
                 (call.description().deadlineNanos() - nowNanos) / NANOS_PER_MILLI);
     }
+
+    private static Optional<LogEvent> eventOf(
+            GuardedCall call, FinishedCall finished, long nowNanos) {
+        if (finished.error().isPresent()) {
+            return Optional.of(
+                    finished.outcome() == Outcome.NOT_RUN
+                            ? LogEvent.GUARD_REFUSED
+                            : LogEvent.GUARD_ENDED);
+        }
+        boolean late = call.description().objectiveNanos() - nowNanos < 0;
+        boolean failed = finished.answer().orElseThrow().status() >= SERVER_ERROR;
+        return late || failed ? Optional.of(LogEvent.GUARD_ANSWERED) : Optional.empty();
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -253,17 +253,17 @@
         CallDescription description = frame.describe(nowNanos);
         Optional<ErrorCode> refusal = refusal(description, nowNanos);
         if (refusal.isPresent()) {
-            GuardedCall refused = new GuardedCall(frame, description, false, listener);
+            GuardedCall refused = new GuardedCall(frame, description, false, listener, nowNanos);
             end(refused, FinishedCall.notRun(refusal.get()));
             return;
         }
         boolean keyed = keys.concern(frame);
         Optional<FinishedCall> known = keyed ? keys.begin(description, nowNanos) : Optional.empty();
         if (known.isPresent()) {
-            end(new GuardedCall(frame, description, false, listener), known.get());
+            end(new GuardedCall(frame, description, false, listener, nowNanos), known.get());
             return;
         }
-        GuardedCall call = new GuardedCall(frame, description, keyed, listener);
+        GuardedCall call = new GuardedCall(frame, description, keyed, listener, nowNanos);
         calls.put(call.id(), call);
         waiting.add(call, nowNanos);
     }
@@ -286,7 +286,7 @@
 
     /** Starts a call that admission counts as in flight, unless something has changed since. */
     private void startNow(GuardedCall call, long nowNanos) {
-        call.onAdmitted(nowNanos);
+        call.onAdmitted(admission.get().slowdown(nowNanos), nowNanos);
         Optional<ErrorCode> refusal = startRefusal(call, nowNanos);
         if (refusal.isPresent()) {
             admission.get().onCancelled(call.id().call(), call.id().attempt(), nowNanos);
@@ -350,10 +350,8 @@
         if (call.isKeyed()) {
             keys.end(call.description(), finished, nowNanos);
         }
-        if (finished.error().isPresent()) {
-            metrics.onGuardRefusal(finished.error().get());
-            attempts.write(call, finished, state(), admission.get(), nowNanos);
-        }
+        finished.error().ifPresent(metrics::onGuardRefusal);
+        attempts.write(call, finished, state(), admission.get(), nowNanos);
         call.answer(answer(finished));
         completeIfIdle();
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/GuardedCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/GuardedCall.java
@@ -15,18 +15,22 @@
     private final boolean keyed;
     private Consumer<AttemptAnswer> listener;
     private Optional<TargetExchange> exchange = Optional.empty();
+    private final long arrivedNanos;
     private boolean admitted;
     private long startedNanos;
+    private double slowdownAtStart;
 
     GuardedCall(
             CallFrame frame,
             CallDescription description,
             boolean keyed,
-            Consumer<AttemptAnswer> listener) {
+            Consumer<AttemptAnswer> listener,
+            long arrivedNanos) {
         this.frame = frame;
         this.description = description;
         this.keyed = keyed;
         this.listener = listener;
+        this.arrivedNanos = arrivedNanos;
     }
 
     AttemptId id() {
@@ -54,10 +58,15 @@
         listener.accept(answer);
     }
 
-    /** Notes that admission counts the attempt as in flight. */
-    void onAdmitted(long nowNanos) {
+    /**
+     * Notes that admission counts the attempt as in flight.
+     *
+     * @param slowdown what the target last told of its speed, or 0
+     */
+    void onAdmitted(double slowdown, long nowNanos) {
         admitted = true;
         startedNanos = nowNanos;
+        slowdownAtStart = slowdown;
     }
 
     boolean isAdmitted() {
@@ -72,6 +81,16 @@
         return exchange;
     }
 
+    /** Returns what the target had told of its speed when the attempt started, or 0. */
+    double slowdownAtStart() {
+        return slowdownAtStart;
+    }
+
+    /** Returns how long the attempt waited, until now if it has not started, in nanoseconds. */
+    long waitNanos(long nowNanos) {
+        return (admitted ? startedNanos : nowNanos) - arrivedNanos;
+    }
+
     long serviceTimeNanos(long nowNanos) {
         return Math.max(0, nowNanos - startedNanos);
     }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/CallLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/CallLog.java
@@ -87,6 +87,8 @@
                     requestId(),
                     "service",
                     service,
+                    "class",
+                    request.callClass(),
                     "status",
                     status,
                     "attempts",
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -43,6 +43,7 @@
     CALL_ANSWERED(456, Severity.INFO, "A call was answered late or with an error, or is a sample."),
     GUARD_REFUSED(457, Severity.INFO, "The guard refused an attempt, which was not run."),
     GUARD_ENDED(458, Severity.INFO, "An attempt at the target ended without an answer."),
+    GUARD_ANSWERED(459, Severity.INFO, "The target answered late or with an error."),
 
     ADMIN_REFUSED(501, Severity.WARNING, "A request to the admin port lacks the shared secret."),
     HANDLER_FAILED(502, Severity.ERROR, "An unexpected failure was caught."),
--- a/node/src/test/java/org/dogwoodwood/node/guard/SpeedWatchTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SpeedWatchTests.java
@@ -141,7 +141,7 @@
                         0,
                         0,
                         true);
-        return new GuardedCall(frame, frame.describe(now()), false, answer -> {});
+        return new GuardedCall(frame, frame.describe(now()), false, answer -> {}, now());
     }
 
     private final class TellingListener extends IgnoringListener {
