Retry calls that met a dead guard without drawing on the retry budget

The test failed before. A guard that cannot be reached runs nothing and reaches no target, so its refusal now counts like that of a busy guard: limited per call, not by the budget.

--- a/core/src/main/java/org/dogwoodwood/core/retry/DefaultRetryStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/retry/DefaultRetryStrategy.java
@@ -9,8 +9,8 @@
 /**
  * Sends a call again only if it was certainly not run or may run twice.
  *
- * <p>Refusals by a busy or leaving guard are limited per call and do not draw on the budget; all
- * other retries do.
+ * <p>Refusals by a busy, leaving or dead guard are limited per call and do not draw on the budget;
+ * all other retries do.
  */
 public final class DefaultRetryStrategy implements RetryStrategy {
 
@@ -19,15 +19,16 @@
 
     /** Refusals that another target, or another incarnation, may well not repeat. */
     private static final Set<ErrorCode> LOCAL_REFUSALS =
-            EnumSet.of(ErrorCode.KEY_NOT_OWNED, ErrorCode.NO_TARGET, ErrorCode.TARGET_REFUSED);
+            EnumSet.of(ErrorCode.KEY_NOT_OWNED, ErrorCode.TARGET_REFUSED);
 
     /**
-     * Refusals that cost one message and no work. While a data centre leaves, they come faster than
-     * a budget of retries would allow.
+     * Refusals that cost one message and no work, and do not reach a target. While a data centre
+     * leaves or a node is down, they come faster than a budget of retries would allow.
      */
     private static final Set<ErrorCode> REFUSALS_BEFORE_WORK =
             EnumSet.of(
                     ErrorCode.GUARD_BUSY,
+                    ErrorCode.NO_TARGET,
                     ErrorCode.INCARNATION_CHANGED,
                     ErrorCode.TARGET_DRAINING,
                     ErrorCode.DATA_CENTRE_OUT,
--- a/core/src/test/java/org/dogwoodwood/core/retry/RetryTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/retry/RetryTests.java
@@ -65,6 +65,17 @@
         assertThat(retry(Outcome.NOT_RUN, ErrorCode.OVERLOADED, false)).isFalse();
     }
 
+    // A node that dies refuses every call sent to it; with the budget spent, those calls were lost.
+    @Test
+    void deadGuardsDoNotDrawOnTheBudget() {
+        while (budget.trySpend()) {
+            assertThat(retry(Outcome.NOT_RUN, ErrorCode.NO_TARGET, false)).isTrue();
+        }
+        assertThat(retry(Outcome.NOT_RUN, ErrorCode.NO_TARGET, false)).isTrue();
+        assertThat(strategy.shouldRetry(6, Outcome.NOT_RUN, ErrorCode.NO_TARGET, false, SECOND))
+                .isFalse();
+    }
+
     // When every target makes calls wait, asking them in turn delays the refusal by round trips.
     @Test
     void queuesAtOnceWhenEvenTheBestTargetMakesCallsWait() {
