Choose targets by loads that hold as long as calls take, not by chance differences of time

Three tests failed before: doesNotPreferALoadedTargetForAChanceDifferenceOfItsMeanTime, remembersAFullTargetForAboutAsLongAsItsCallsTake and forgetsTheFirstReportOfATargetThatReportsSeldom.

Callers of log-view saw refusals and late answers while most targets had free slots. The service time that a guard with a told speed reports is a mean of some 40 calls divided by the mean of the told speeds, so it differs by tens of milliseconds by chance, which outweighed the wait at a loaded target; an ingress also kept the first report of a target, a guess of 10 ms, for 50 reports. And a reported load was forgotten after 20 ms, though calls take 130 ms.

Targets that tell their speed now count as ordinary unless their calls take 1.5 times as long as the others', one that has not reported counts as ordinary, and a load holds for about the time that calls take. Targets that do not tell their speed are chosen as before.

--- a/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
@@ -17,7 +17,7 @@
     /** With more candidates than this, a random sample of this size is compared. */
     private static final int MAX_COMPARED = 16;
 
-    /** Assumed until a target has reported. */
+    /** The least that is assumed until a target has reported. */
     private static final double UNKNOWN_SERVICE_NANOS = 10e6;
 
     /** The cost of a suspect target, so that it is chosen only while no other exists. */
@@ -123,7 +123,11 @@
             return Double.POSITIVE_INFINITY;
         }
         if (!load.isKnown()) {
-            return cost + UNKNOWN_SERVICE_NANOS * (1 + load.ownInFlight());
+            double service =
+                    Math.max(
+                            UNKNOWN_SERVICE_NANOS,
+                            table.isSpeedTold() ? table.ordinaryServiceNanos() : 0);
+            return cost + service * (1 + load.ownInFlight());
         }
         double service = load.serviceNanos(nowNanos, table.ordinaryServiceNanos());
         double wait = waitNanos(load, nowNanos);
@@ -133,8 +137,9 @@
 
     private double waitNanos(TargetLoad load, long nowNanos) {
         int limit = load.limit();
-        double excess = expectedExcess(load.expectedLoad(nowNanos) + 1, limit);
-        return excess * load.serviceNanos(nowNanos, table.ordinaryServiceNanos()) / limit;
+        double ordinary = table.ordinaryServiceNanos();
+        double excess = expectedExcess(load.expectedLoad(nowNanos, ordinary) + 1, limit);
+        return excess * load.serviceNanos(nowNanos, ordinary) / limit;
     }
 
     /** Returns the expected number of calls above the limit when the load is uncertain. */
--- a/core/src/main/java/org/dogwoodwood/core/balancing/LoadTable.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/LoadTable.java
@@ -16,6 +16,7 @@
 
     private final Map<NodeId, TargetLoad> loadByNode = new HashMap<>();
     private double ordinaryServiceNanos;
+    private long reportsOfSpeed;
 
     private LoadTable() {}
 
@@ -45,8 +46,7 @@
         boolean newer = of(report.guard()).onReport(report, nowNanos);
         if (newer) {
             double nanos = report.serviceTimeMicros() * NANOS_PER_MICRO;
-            double weight = ordinaryServiceNanos == 0 ? 1 : ORDINARY_WEIGHT;
-            ordinaryServiceNanos += weight * (nanos - ordinaryServiceNanos);
+            ordinaryServiceNanos += weightOf(report) * (nanos - ordinaryServiceNanos);
         }
         return newer;
     }
@@ -56,8 +56,25 @@
         return ordinaryServiceNanos;
     }
 
+    /** Returns whether the targets of the service tell their speed. */
+    boolean isSpeedTold() {
+        return reportsOfSpeed > 0;
+    }
+
     /** Forgets a node that has left. */
     public void forget(NodeId node) {
         loadByNode.remove(node);
     }
+
+    /**
+     * Returns the weight of a report in the ordinary service time. Targets that tell their speed
+     * are compared with it, so the guesses before their first calls have ended must not stay in it.
+     */
+    private double weightOf(LoadReport report) {
+        if (!report.tellsSpeed()) {
+            return ordinaryServiceNanos == 0 ? 1 : ORDINARY_WEIGHT;
+        }
+        reportsOfSpeed++;
+        return Math.max(ORDINARY_WEIGHT, 1.0 / reportsOfSpeed);
+    }
 }
--- a/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
@@ -5,8 +5,14 @@
 /** The newest report of one target and this ingress's own calls to it. */
 final class TargetLoad {
 
-    /** The load of a target drifts away from a report within a few service times. */
-    private static final double AGEING_NANOS = 20e6;
+    /**
+     * The load of a target drifts away from a report within about the time that its calls take, and
+     * that of a target with shorter calls within this time.
+     */
+    private static final double MIN_LOAD_AGEING_NANOS = 20e6;
+
+    /** How fast the service time of a target that does not tell its speed is forgotten. */
+    private static final double SERVICE_AGEING_NANOS = 20e6;
 
     /**
      * Without a new report for this long, a target counts more and more as an ordinary one. It
@@ -18,6 +24,12 @@
     /** How fast the speed that a target told is forgotten; slow phases last about as long. */
     private static final double SPEED_AGEING_NANOS = 600e6;
 
+    /**
+     * Means of a few calls differ by chance up to this ratio. Senders that follow such differences
+     * all choose the same target; one that is faster than the others shows by its load.
+     */
+    private static final double SIGNIFICANT_RATIO = 1.5;
+
     private static final double TYPICAL_WEIGHT = 0.02;
     private static final double NANOS_PER_MICRO = 1_000.0;
 
@@ -78,9 +90,17 @@
         return ownInFlight;
     }
 
-    /** Returns the expected number of calls at the target: running, queued and on their way. */
-    double expectedLoad(long nowNanos) {
-        double weight = reportWeight(nowNanos);
+    /**
+     * Returns the expected number of calls at the target: running, queued and on their way.
+     *
+     * @param nowNanos the present time in nanoseconds
+     * @param ordinaryNanos the service time of an ordinary target of the service, in nanoseconds
+     */
+    double expectedLoad(long nowNanos, double ordinaryNanos) {
+        // Without a told speed, the ordinary time contains the slow phases of other targets.
+        double callNanos = report.tellsSpeed() ? ordinaryNanos : 0;
+        double ageingNanos = Math.max(MIN_LOAD_AGEING_NANOS, callNanos);
+        double weight = reportWeight(ageingNanos, nowNanos);
         double reported = report.inFlight() + report.queued();
         double aged = weight * reported + (1 - weight) * typicalLoad;
         return Math.max(ownInFlight, aged + ownSinceReport);
@@ -98,7 +118,11 @@
      */
     double serviceNanos(long nowNanos, double ordinaryNanos) {
         double memory = memory(nowNanos);
-        return memory * recentServiceNanos(nowNanos) + (1 - memory) * ordinaryNanos;
+        double recentNanos =
+                report.tellsSpeed()
+                        ? usualServiceNanos(ordinaryNanos) * toldSlowdown(nowNanos)
+                        : recentServiceNanos(nowNanos);
+        return memory * recentNanos + (1 - memory) * ordinaryNanos;
     }
 
     double slowdown(long nowNanos) {
@@ -117,11 +141,14 @@
         return weight * report.slowdown() + (1 - weight) * typicalSlowdown;
     }
 
+    /** Returns how long calls take at the usual speed of a target that tells its speed. */
+    private double usualServiceNanos(double ordinaryNanos) {
+        double reported = report.serviceTimeMicros() * NANOS_PER_MICRO;
+        return reported > SIGNIFICANT_RATIO * ordinaryNanos ? reported : ordinaryNanos;
+    }
+
     private double recentServiceNanos(long nowNanos) {
-        if (report.tellsSpeed()) {
-            return typicalServiceNanos * toldSlowdown(nowNanos);
-        }
-        double weight = reportWeight(nowNanos);
+        double weight = reportWeight(SERVICE_AGEING_NANOS, nowNanos);
         return weight * report.serviceTimeMicros() * NANOS_PER_MICRO
                 + (1 - weight) * typicalServiceNanos;
     }
@@ -130,7 +157,7 @@
         return Math.exp(Math.min(0, 1 - (nowNanos - reportNanos) / FORGET_NANOS));
     }
 
-    private double reportWeight(long nowNanos) {
-        return Math.exp(-Math.max(0, nowNanos - reportNanos) / AGEING_NANOS);
+    private double reportWeight(double ageingNanos, long nowNanos) {
+        return Math.exp(-Math.max(0, nowNanos - reportNanos) / ageingNanos);
     }
 }
--- a/core/src/test/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategyTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategyTests.java
@@ -93,6 +93,62 @@
         assertThat(strategy.choose(suspect, Set.of(), 0, random)).contains(FAR);
     }
 
+    // Means of few calls differ by chance; when all senders followed them, one target was full for
+    // seconds while its neighbours had free slots.
+    @Test
+    void doesNotPreferALoadedTargetForAChanceDifferenceOfItsMeanTime() {
+        told(NEAR, 1, 3, 100_000, 0);
+        told(FAR, 1, 0, 130_000, 0);
+        assertThat(choose(0)).isEqualTo(FAR);
+    }
+
+    // A target whose calls clearly take longer than those of the others is avoided all the same.
+    @Test
+    void avoidsATargetThatIsClearlySlowerThanTheOthersAtItsUsualSpeed() {
+        for (int i = 1; i <= 20; i++) {
+            told(FAR, i, 1, 100_000, 0);
+        }
+        told(NEAR, 1, 0, 300_000, 0);
+        assertThat(choose(0)).isEqualTo(FAR);
+    }
+
+    // Calls of 130 ms keep a full target full for longer than 20 ms, after which it looked idle.
+    @Test
+    void remembersAFullTargetForAboutAsLongAsItsCallsTake() {
+        told(NEAR, 1, 0, 130_000, 0);
+        told(FAR, 1, 1, 130_000, 0);
+        told(NEAR, 2, 7, 130_000, 0);
+        assertThat(choose(100 * MILLI)).isEqualTo(FAR);
+    }
+
+    // Before the first calls have ended, a guard can only guess how long they take.
+    @Test
+    void forgetsTheFirstReportOfATargetThatReportsSeldom() {
+        told(NEAR, 1, 0, 10_000, 0);
+        for (int i = 1; i <= 20; i++) {
+            told(FAR, i, 0, 130_000, 5_000 * MILLI);
+        }
+        told(NEAR, 2, 4, 130_000, 5_000 * MILLI);
+        assertThat(choose(5_000 * MILLI)).isEqualTo(FAR);
+    }
+
+    private void told(NodeId node, long sequence, int inFlight, long serviceMicros, long nowNanos) {
+        strategy.onReport(
+                new LoadReport(
+                        node,
+                        1,
+                        sequence,
+                        inFlight,
+                        0,
+                        4,
+                        4,
+                        serviceMicros,
+                        0,
+                        TargetState.WARM,
+                        1.0),
+                nowNanos);
+    }
+
     private NodeId choose(long now) {
         return strategy.choose(BOTH, Set.of(), now, random).orElseThrow();
     }
