--- a/node/src/test/java/org/dogwoodwood/node/ingress/StoppingIngressTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/ingress/StoppingIngressTests.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.Future;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -115,7 +116,7 @@
                 caller.send(
                         "GET /services/shop/echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
                 answered += caller.readAll().startsWith("HTTP/1.1 200") ? 1 : 0;
-            } catch (IOException e) {
+            } catch (IOException | UncheckedIOException e) {
                 // The port is closed, or the connection was cut; the target tells which.
                 return answered;
             }
