Do not take a target that closes new connections for one that is gone

A target of the grown site resets connections when it is full. Since calls are sent only after the sockets have been read once more, such a reset is seen before the request is written, and it ended the exchange as if no connection could be opened: the target was taken down as crashed, its queued calls were refused, and its limit started low again.

A connection that is lost before anything is sent is now a result of its own: the call was not run, and the target is polled. Only a connection that cannot be opened takes the target down.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -8,8 +8,10 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.net.ConnectException;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dogwoodwood.codec.wire.CallFrame;
@@ -48,7 +50,6 @@
     private Optional<TargetResult> refusal = Optional.empty();
     private long timer = -1;
     private boolean overdue;
-    private boolean connectionLost;
     private boolean ended;
 
     /**
@@ -124,27 +125,35 @@
                 .get()
                 .onSuccess(
                         opened -> {
-                            connectionLost = false;
-                            opened.exceptionHandler(failure -> connectionLost = true);
+                            AtomicBoolean lost = new AtomicBoolean();
+                            opened.exceptionHandler(failure -> lost.set(true));
                             // A cancel, or the end of an idle connection, may be unread.
-                            starts.execute(() -> sendOrReconnect(opened, connector, mayBeIdle));
+                            starts.execute(
+                                    () -> {
+                                        if (lost.get()) {
+                                            reconnect(connector, mayBeIdle);
+                                        } else {
+                                            send(opened);
+                                        }
+                                    });
                         })
-                .onFailure(failure -> end(TargetResult.connectFailed()));
+                .onFailure(failure -> end(notOpened(failure)));
     }
 
-    private void sendOrReconnect(
-            HttpClientRequest opened,
-            Supplier<Future<HttpClientRequest>> connector,
-            boolean mayBeIdle) {
-        if (!connectionLost) {
-            send(opened);
-        } else if (mayBeIdle && !ended) {
+    private void reconnect(Supplier<Future<HttpClientRequest>> connector, boolean mayBeIdle) {
+        if (mayBeIdle && !ended) {
             connect(connector, false);
         } else {
-            end(TargetResult.connectFailed());
+            end(TargetResult.connectionLost());
         }
     }
 
+    private static TargetResult notOpened(Throwable failure) {
+        return failure instanceof ConnectException
+                ? TargetResult.connectFailed()
+                : TargetResult.connectionLost();
+    }
+
     private void send(HttpClientRequest opened) {
         opened.exceptionHandler(this::onBroken);
         InterimAnswers.limit(opened, this::onBroken);
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -175,7 +175,7 @@
             case ANSWERED -> failedPolls = 0;
             case CONNECT_FAILED -> onUnreachable();
             // The next poll tells whether the target has crashed.
-            case BROKEN -> tick();
+            case BROKEN, CONNECTION_LOST -> tick();
             default -> {
                 // The guard's own decision tells nothing of the target.
             }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetResult.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetResult.java
@@ -24,6 +24,8 @@
         REFUSED,
         /** No connection could be opened; nothing was sent. */
         CONNECT_FAILED,
+        /** A connection was opened and lost before anything was sent, as a full target does. */
+        CONNECTION_LOST,
         /** The connection broke after the request was sent. */
         BROKEN,
         /** The guard ended the exchange. */
@@ -42,6 +44,10 @@
         return of(FinishedCall.notRun(ErrorCode.NO_TARGET), Kind.CONNECT_FAILED);
     }
 
+    static TargetResult connectionLost() {
+        return of(FinishedCall.notRun(ErrorCode.NO_TARGET), Kind.CONNECTION_LOST);
+    }
+
     static TargetResult broken() {
         return of(FinishedCall.unknown(ErrorCode.TARGET_FAILED), Kind.BROKEN);
     }
@@ -63,7 +69,7 @@
         return switch (kind) {
             case ANSWERED ->
                     finished.answer().map(answer -> answer.status() >= SERVER_ERROR).orElse(true);
-            case CONNECT_FAILED, BROKEN, REFUSED -> true;
+            case CONNECT_FAILED, CONNECTION_LOST, BROKEN, REFUSED -> true;
             case ABORTED -> finished.error().orElse(null) == ErrorCode.DEADLINE_EXCEEDED;
         };
     }
