Let no poll from before a leave put a target back into service

By reading: a poll that the target answered with 200 before it left is read after the leave was acknowledged, and ended the draining, which nothing sets again for a target that leaves by DELETE. In the same way an old poll made a target warm that was taken for cold.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -53,6 +53,8 @@
     private final EventLog log;
     private final Listener listener;
     private TargetAnnouncement announcement;
+    // Polls that began before the last change tell what the target was then.
+    private long changes;
     private TargetClient client;
     private TargetState state = TargetState.DOWN;
     private boolean cold;
@@ -110,6 +112,7 @@
             onRestarted();
         }
         if (changed) {
+            changes++;
             logAnnouncement(next);
         }
         if (protocol.announcementShowsLife()) {
@@ -165,6 +168,7 @@
     /** Takes the target for cold until it announces otherwise. */
     void assumeCold() {
         if (announcement != null) {
+            changes++;
             setConditions(true, draining);
         }
     }
@@ -238,13 +242,14 @@
         polling = true;
         polls++;
         TargetClient polled = client;
+        long knownChanges = changes;
         List<String> paths = protocol.pollPaths(healthPathOf.apply(announcement.service()));
         String path = paths.get(Math.min(pollPath, paths.size() - 1));
         polled.poll(path)
                 .onComplete(
                         result -> {
                             polling = false;
-                            if (polled == client) {
+                            if (polled == client && knownChanges == changes) {
                                 onPolled(path, result);
                             }
                             listener.onPolled();
