--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -17,9 +17,8 @@
     private static final int REMEMBERED_IDS = 10_000;
     private static final long MAX_BACKOFF_MILLIS = 5_000;
 
-    // All nodes announce themselves in the first seconds. A few short pauses are enough to meet
-    // some
-    // of them, and gossip tells of the others.
+    // All nodes announce themselves in the first seconds. A few short pauses are enough to learn of
+    // some, and gossip tells of the others.
     private static final int SHORT_PAUSES = 2;
     private static final int LONG_PAUSE_DOUBLINGS = 5;
 
