--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -31,7 +31,7 @@
     // nothing has come from the ingress for this much longer, because the ingress is gone.
     private static final int LOST_INGRESS_MILLIS = 250;
 
-    // A target may use the connection again that has sent a refusal whole.
+    // The connection can be used again if the body of a refusal ends within these limits.
     private static final int REFUSAL_BODY_MILLIS = 100;
     private static final int REFUSAL_BODY_BYTES = 64 << 10;
 
