Measure how long all attempts wait and run, by the speed of the target at their start

The log lines of a guard tell of refused, late and failed attempts only, so no figure told what an ordinary attempt takes, or whether slots are held by work that began in a slow phase. NodeMetricsTests checks the split.

--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -283,7 +283,7 @@
 
     /** Starts a call that admission counts as in flight, unless something has changed since. */
     private void startNow(GuardedCall call, long nowNanos) {
-        call.onAdmitted(admission.get().slowdown(nowNanos), nowNanos);
+        call.onAdmitted(startConditions(nowNanos), nowNanos);
         Optional<ErrorCode> refusal = startRefusal(call, nowNanos);
         if (refusal.isPresent()) {
             admission.get().onCancelled(call.id().call(), call.id().attempt(), nowNanos);
@@ -307,8 +307,20 @@
         speeds.onStarted();
     }
 
+    private StartConditions startConditions(long nowNanos) {
+        AdmissionController current = admission.get();
+        return new StartConditions(
+                current.slowdown(nowNanos), monitor.speedAgeNanos(nowNanos), current.inFlight());
+    }
+
     private void onResult(GuardedCall call, TargetResult result) {
         long nowNanos = System.nanoTime();
+        metrics.onTargetResult(
+                call.description().service(),
+                call.description().callClass(),
+                call.startConditions().isSlow(),
+                call.waitNanos(nowNanos),
+                call.serviceTimeNanos(nowNanos));
         admission
                 .get()
                 .onEnded(
--- a/node/src/main/java/org/dogwoodwood/node/guard/GuardedCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/GuardedCall.java
@@ -18,7 +18,7 @@
     private final long arrivedNanos;
     private boolean admitted;
     private long startedNanos;
-    private double slowdownAtStart;
+    private StartConditions startConditions = StartConditions.NOT_STARTED;
 
     GuardedCall(
             CallFrame frame,
@@ -61,12 +61,13 @@
     /**
      * Notes that admission counts the attempt as in flight.
      *
-     * @param slowdown what the target last told of its speed, or 0
+     * @param conditions what the guard knows of the target now, not null
+     * @param nowNanos the present time in nanoseconds
      */
-    void onAdmitted(double slowdown, long nowNanos) {
+    void onAdmitted(StartConditions conditions, long nowNanos) {
         admitted = true;
         startedNanos = nowNanos;
-        slowdownAtStart = slowdown;
+        startConditions = conditions;
     }
 
     boolean isAdmitted() {
@@ -81,9 +82,9 @@
         return exchange;
     }
 
-    /** Returns what the target had told of its speed when the attempt started, or 0. */
-    double slowdownAtStart() {
-        return slowdownAtStart;
+    /** Returns what the guard knew of the target when the attempt started. */
+    StartConditions startConditions() {
+        return startConditions;
     }
 
     /** Returns how long the attempt waited, until now if it has not started, in nanoseconds. */
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -198,7 +198,12 @@
 
     /** Returns whether the target tells its speed, but has not done so for a time. */
     boolean isSpeedOlderThan(long ageNanos, long nowNanos) {
-        return tellsSpeed && !draining && nowNanos - conditionNanos > ageNanos;
+        return tellsSpeed && !draining && speedAgeNanos(nowNanos) > ageNanos;
+    }
+
+    /** Returns how long ago the target told its load, in nanoseconds. */
+    long speedAgeNanos(long nowNanos) {
+        return nowNanos - conditionNanos;
     }
 
     /** Polls the target now, within the budget; returns whether a poll is under way. */
--- a/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
@@ -4,7 +4,9 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.IntSupplier;
 import org.dogwoodwood.core.ErrorCode;
@@ -22,6 +24,7 @@
     private final MetricRegistry registry = new MetricRegistry();
     private final Map<CallLabels, Histogram> latencies = new HashMap<>();
     private final Map<AnswerLabels, Counter> answers = new HashMap<>();
+    private final Map<CallLabels, TargetTimes> targetTimes = new HashMap<>();
     private final Counter attempts = counter("dogwoodwood_attempts_total");
     private final Counter retries = counter("dogwoodwood_retries_total");
     private final Counter hedges = counter("dogwoodwood_hedges_total");
@@ -38,7 +41,7 @@
 
     /** Counts an answer to a caller and its latency. */
     public void onAnswered(String service, String callClass, int status, long latencyNanos) {
-        CallLabels labels = labels(service, callClass);
+        CallLabels labels = labels(latencies, service, callClass);
         latencies.computeIfAbsent(labels, this::newLatency).update(latencyNanos / NANOS_PER_MICRO);
         answers.computeIfAbsent(new AnswerLabels(labels, status / 100), this::newAnswers).inc();
     }
@@ -73,6 +76,24 @@
         targetCalls.inc();
     }
 
+    /**
+     * Counts an attempt that has ended at the target, however it ended.
+     *
+     * @param startedSlow whether the target was known to be in a slow phase at the start
+     * @param waitNanos how long the attempt waited at the guard, in nanoseconds
+     * @param serviceNanos how long it held a slot of the target, in nanoseconds
+     */
+    public void onTargetResult(
+            String service,
+            String callClass,
+            boolean startedSlow,
+            long waitNanos,
+            long serviceNanos) {
+        targetTimes
+                .computeIfAbsent(labels(targetTimes, service, callClass), this::newTargetTimes)
+                .update(startedSlow, waitNanos, serviceNanos);
+    }
+
     /** Counts an attempt that the guard ended without an answer of the target. */
     public void onGuardRefusal(ErrorCode code) {
         counter("dogwoodwood_guard_refusals_total", "kind", code.name()).inc();
@@ -94,21 +115,29 @@
         return PrometheusText.of(registry);
     }
 
-    private CallLabels labels(String service, String callClass) {
+    private static CallLabels labels(Map<CallLabels, ?> series, String service, String callClass) {
         CallLabels labels = new CallLabels(service, callClass);
-        boolean known = latencies.containsKey(labels) || latencies.size() < MAX_LATENCY_SERIES;
+        boolean known = series.containsKey(labels) || series.size() < MAX_LATENCY_SERIES;
         return known ? labels : CallLabels.OTHER;
     }
 
     private Histogram newLatency(CallLabels labels) {
-        Series series =
-                Series.of(
-                        "dogwoodwood_latency_microseconds",
-                        "service",
-                        labels.service(),
-                        "class",
-                        labels.callClass());
-        return registry.histogram(series.key(), () -> new Histogram(new HdrReservoir()));
+        return histogram("dogwoodwood_latency_microseconds", labels);
+    }
+
+    private TargetTimes newTargetTimes(CallLabels labels) {
+        return new TargetTimes(
+                histogram("dogwoodwood_guard_wait_microseconds", labels),
+                histogram("dogwoodwood_target_time_microseconds", labels, "start", "usual"),
+                histogram("dogwoodwood_target_time_microseconds", labels, "start", "slow"));
+    }
+
+    private Histogram histogram(String name, CallLabels labels, String... others) {
+        List<String> all = new ArrayList<>();
+        all.addAll(List.of("service", labels.service(), "class", labels.callClass()));
+        all.addAll(List.of(others));
+        String key = Series.of(name, all.toArray(String[]::new)).key();
+        return registry.histogram(key, () -> new Histogram(new HdrReservoir()));
     }
 
     private Counter newAnswers(AnswerLabels labels) {
@@ -131,5 +160,14 @@
         static final CallLabels OTHER = new CallLabels("other", "other");
     }
 
+    /** How long attempts wait at the guard and run at the target. */
+    private record TargetTimes(Histogram waits, Histogram usual, Histogram slow) {
+
+        void update(boolean startedSlow, long waitNanos, long serviceNanos) {
+            waits.update(waitNanos / NANOS_PER_MICRO);
+            (startedSlow ? slow : usual).update(serviceNanos / NANOS_PER_MICRO);
+        }
+    }
+
     private record AnswerLabels(CallLabels call, int hundreds) {}
 }
--- a/node/src/test/java/org/dogwoodwood/node/metrics/NodeMetricsTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/metrics/NodeMetricsTests.java
@@ -36,6 +36,24 @@
         assertThat(text).contains("_count{service=\"other\",class=\"other\"} 1488");
     }
 
+    // Log lines tell of late and failed attempts only, so means over them are means of the bad
+    // ones.
+    @Test
+    void tellsTheTimesOfAllAttemptsAtATarget() {
+        NodeMetrics metrics = NodeMetrics.create();
+        metrics.onTargetResult("shop", "gold", false, 0, 100_000_000);
+        metrics.onTargetResult("shop", "gold", true, 20_000_000, 700_000_000);
+
+        assertThat(metrics.prometheusText())
+                .contains("wait_microseconds_count{service=\"shop\",class=\"gold\"} 2")
+                .contains(
+                        "time_microseconds_count{service=\"shop\",class=\"gold\",start=\"usual\"}"
+                                + " 1")
+                .contains(
+                        "time_microseconds_count{service=\"shop\",class=\"gold\",start=\"slow\"}"
+                                + " 1");
+    }
+
     @Test
     void escapesLabels() {
         NodeMetrics metrics = NodeMetrics.create();
