--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/BenchmarkRunner.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/BenchmarkRunner.java
@@ -14,6 +14,9 @@
 
     public static final List<Double> LOADS = List.of(0.5, 0.7, 0.85, 0.95, 1.2);
 
+    private static final List<ServiceTimes> SERVICE_TIMES =
+            List.of(ServiceTimes.EXPONENTIAL, ServiceTimes.LOG_NORMAL, ServiceTimes.BIMODAL);
+
     private BenchmarkRunner() {}
 
     /** A scenario and a policy to run in it. */
@@ -38,7 +41,7 @@
             List<Workload> workloads, List<Policy> policies, long seed, int seconds) {
         List<Cell> cells = new ArrayList<>();
         for (Workload workload : workloads) {
-            for (ServiceTimes serviceTimes : ServiceTimes.values()) {
+            for (ServiceTimes serviceTimes : SERVICE_TIMES) {
                 for (double load : LOADS) {
                     Scenario scenario = new Scenario(workload, serviceTimes, load, seed, seconds);
                     policies.forEach(policy -> cells.add(new Cell(scenario, policy)));
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/DogwoodwoodPolicy.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/DogwoodwoodPolicy.java
@@ -5,11 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.dogwoodwood.benchmarks.simulation.CallTimes;
 import org.dogwoodwood.benchmarks.simulation.SimulatedCall;
 import org.dogwoodwood.benchmarks.simulation.Workload;
 import org.dogwoodwood.benchmarks.simulation.World;
 import org.dogwoodwood.core.balancing.Candidate;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
+import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.core.model.NodeId;
 
 /** This project's policy: an ingress and a guard on every node. */
@@ -21,31 +23,43 @@
     /** How long a target that has returned stays cold. */
     private static final long COLD_NANOS = 500_000_000;
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    // The policy that the adapter of the platform gives to services with long calls.
+    private static final double LONG_RETRY_SHARE = 0.15;
+    private static final int LONG_QUEUE_LIMIT_MILLIS = 400;
+    private static final int LONG_DATA_CENTRE_COST_MILLIS = 40;
+
     private final World world;
     private final SplittableRandom random;
     private final List<NodeId> nodeIds = new ArrayList<>();
     private final Map<NodeId, Integer> indexByNode = new HashMap<>();
     private final List<SimulatedGuard> guards = new ArrayList<>();
     private final List<List<SimulatedIngress>> ingresses = new ArrayList<>();
+    private final PolicyDefinition definition;
 
     private DogwoodwoodPolicy(World world, long seed) {
         this.world = world;
+        this.definition = definitionFor(world.scenario().workload());
         this.random = new SplittableRandom(seed);
     }
 
     /** Returns the policy at work in a world. */
     public static DogwoodwoodPolicy create(World world, long seed) {
         DogwoodwoodPolicy policy = new DogwoodwoodPolicy(world, seed);
-        PolicyDefinition definition = PolicyDefinition.withDefaults("default");
         for (Workload.Place place : world.places()) {
             NodeId id = NodeId.of("node-" + place.index());
             policy.nodeIds.add(id);
             policy.indexByNode.put(id, place.index());
             policy.guards.add(
-                    new SimulatedGuard(world, id, world.target(place.index()), definition));
+                    new SimulatedGuard(world, id, world.target(place.index()), policy.definition));
+        }
+        for (Workload.Place place : world.places()) {
+            policy.ingresses.add(policy.createIngress(place));
         }
         for (Workload.Place place : world.places()) {
-            policy.ingresses.add(policy.createIngress(place, definition));
+            SimulatedGuard guard = policy.guards.get(place.index());
+            guard.setSpeedListener(() -> policy.pushReport(place));
         }
         return policy;
     }
@@ -63,6 +77,17 @@
         }
     }
 
+    /** Sends the load of a target to the nodes that have called it shortly before. */
+    private void pushReport(Workload.Place from) {
+        LoadReport report = guard(from.index()).report();
+        for (int index : guard(from.index()).recentIngresses()) {
+            world.send(
+                    from.index(),
+                    index,
+                    () -> ingresses.get(index).get(from.service()).onReport(report));
+        }
+    }
+
     NodeId nodeId(int index) {
         return nodeIds.get(index);
     }
@@ -75,7 +100,7 @@
         return guards.get(index);
     }
 
-    private List<SimulatedIngress> createIngress(Workload.Place place, PolicyDefinition policy) {
+    private List<SimulatedIngress> createIngress(Workload.Place place) {
         List<SimulatedIngress> byService = new ArrayList<>();
         int services = world.scenario().workload().targetsByService().size();
         for (int service = 0; service < services; service++) {
@@ -84,7 +109,7 @@
                             this,
                             world,
                             place.index(),
-                            policy,
+                            definition,
                             candidates(place, service, -1),
                             random.split()));
         }
@@ -105,14 +130,36 @@
         }
     }
 
+    private long dataCentreCostNanos(Workload.Place from, Workload.Place to) {
+        boolean near = from.dataCentre() == to.dataCentre();
+        return near ? 0 : definition.dataCentreCostMillis() * NANOS_PER_MILLI;
+    }
+
+    private static PolicyDefinition definitionFor(Workload workload) {
+        PolicyDefinition defaults = PolicyDefinition.withDefaults("default");
+        return workload.times().equals(CallTimes.LONG)
+                ? new PolicyDefinition(
+                        defaults.name(),
+                        LONG_RETRY_SHARE,
+                        defaults.hedgeQuantile(),
+                        LONG_QUEUE_LIMIT_MILLIS,
+                        Integer.MAX_VALUE,
+                        defaults.ejectionShare(),
+                        defaults.crashLimit(),
+                        defaults.crashHoldSeconds(),
+                        defaults.coldCallsPerSecond(),
+                        LONG_DATA_CENTRE_COST_MILLIS)
+                : defaults;
+    }
+
     private List<Candidate> candidates(Workload.Place from, int service, int dataCentreOut) {
         List<Candidate> candidates = new ArrayList<>();
         for (Workload.Place place : world.places()) {
             if (place.service() == service && place.dataCentre() != dataCentreOut) {
                 long roundTrip = 2 * world.distanceNanos(from.index(), place.index());
+                long cost = roundTrip + dataCentreCostNanos(from, place);
                 String dataCentre = "data-centre-" + place.dataCentre();
-                candidates.add(
-                        new Candidate(nodeId(place.index()), 1, dataCentre, roundTrip, false));
+                candidates.add(new Candidate(nodeId(place.index()), 1, dataCentre, cost, false));
             }
         }
         return List.copyOf(candidates);
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedGuard.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedGuard.java
@@ -1,8 +1,10 @@
 package org.dogwoodwood.benchmarks.policy;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.dogwoodwood.benchmarks.simulation.SimulatedTarget;
 import org.dogwoodwood.benchmarks.simulation.World;
@@ -24,6 +26,11 @@
 
     private static final int CONNECTIONS = 240;
     private static final long TICK_NANOS = 20_000_000;
+    private static final long QUEUE_TICK_NANOS = 5_000_000;
+    private static final long RECENT_NANOS = 500_000_000;
+    private static final long FRESH_NANOS = 30_000_000;
+    private static final long SLOW_POLL_NANOS = 40_000_000;
+    private static final long STILL_SLOW_POLL_NANOS = 200_000_000;
     private static final long POLL_INTERVAL_NANOS = 250_000_000;
     private static final long NANOS_PER_MICRO = 1_000;
 
@@ -34,11 +41,17 @@
     private final MeasurementBudget polls = MeasurementBudget.withDefaults(0);
     private final Map<AttemptId, Waiting> waiting = new HashMap<>();
     private final Map<AttemptId, SimulatedTarget.Run> running = new HashMap<>();
+    private final Map<Integer, Long> lastCallByIngress = new TreeMap<>();
     private AdmissionController admission;
     private long incarnation = 1;
     private long sequence;
     private boolean out;
     private long nextPollNanos;
+    private long speedNanos;
+    private boolean startCheckScheduled;
+    private boolean slowPollScheduled;
+    private boolean queueTickScheduled;
+    private Runnable speedListener = () -> {};
 
     SimulatedGuard(World world, NodeId id, SimulatedTarget target, PolicyDefinition policy) {
         this.world = world;
@@ -57,16 +70,21 @@
 
     private record AttemptId(CallId call, int attempt) {}
 
-    void offer(CallDescription call, double demandNanos, Consumer<Answer> onAnswer) {
+    void offer(int from, CallDescription call, double demandNanos, Consumer<Answer> onAnswer) {
+        lastCallByIngress.put(from, now());
         if (out) {
             onAnswer.accept(new Answer(Optional.of(ErrorCode.DATA_CENTRE_OUT), report()));
             return;
         }
+        askForOldSpeed(FRESH_NANOS);
         Waiting arrived = new Waiting(call, demandNanos, onAnswer);
         AdmissionDecision decision = admission.offer(call, now());
         switch (decision.kind()) {
             case START -> start(arrived);
-            case QUEUE -> waiting.put(attemptId(call), arrived);
+            case QUEUE -> {
+                waiting.put(attemptId(call), arrived);
+                scheduleQueueTick();
+            }
             case REFUSE -> onAnswer.accept(new Answer(decision.refusal(), report()));
             default -> throw new AssertionError(decision.kind());
         }
@@ -109,7 +127,84 @@
                 target.slots(),
                 admission.serviceTimeNanos(now()) / NANOS_PER_MICRO,
                 admission.errorRatio(),
-                cold ? TargetState.COLD : TargetState.WARM);
+                cold ? TargetState.COLD : TargetState.WARM,
+                admission.slowdown(now()));
+    }
+
+    /** Returns the nodes that have sent a call shortly before. */
+    List<Integer> recentIngresses() {
+        lastCallByIngress.values().removeIf(nanos -> now() - nanos > RECENT_NANOS);
+        return List.copyOf(lastCallByIngress.keySet());
+    }
+
+    /** Sets who is told when the target has become slow or has recovered. */
+    void setSpeedListener(Runnable listener) {
+        speedListener = listener;
+    }
+
+    /** Polls a target that tells its speed, if that was longer ago; the poll takes no time. */
+    private void askForOldSpeed(long ageNanos) {
+        if (target.tellsSpeed() && now() - speedNanos > ageNanos) {
+            world.measurements().onPoll(now());
+            onSpeed();
+        }
+    }
+
+    private void onSpeed() {
+        if (!target.tellsSpeed()) {
+            return;
+        }
+        boolean wasHolding = admission.isHolding(now());
+        boolean wasSlow = admission.slowdown(now()) > 1;
+        double told = target.toldSlowdown();
+        admission.onSlowdown(told, now());
+        speedNanos = now();
+        if (wasSlow != told > 1) {
+            speedListener.run();
+        }
+        if (told > 1 && !slowPollScheduled) {
+            slowPollScheduled = true;
+            boolean holding = wasHolding || admission.isHolding(now());
+            world.events().after(holding ? SLOW_POLL_NANOS : STILL_SLOW_POLL_NANOS, this::slowPoll);
+        }
+    }
+
+    private void slowPoll() {
+        slowPollScheduled = false;
+        askForOldSpeed(0);
+        startWaiting();
+    }
+
+    private void checkSpeedAfterStart() {
+        if (!target.tellsSpeed() || startCheckScheduled) {
+            return;
+        }
+        startCheckScheduled = true;
+        world.events()
+                .after(
+                        FRESH_NANOS,
+                        () -> {
+                            startCheckScheduled = false;
+                            if (admission.inFlight() > 0) {
+                                askForOldSpeed(0);
+                            }
+                        });
+    }
+
+    private void scheduleQueueTick() {
+        if (target.tellsSpeed() && !queueTickScheduled) {
+            queueTickScheduled = true;
+            world.events()
+                    .after(
+                            QUEUE_TICK_NANOS,
+                            () -> {
+                                queueTickScheduled = false;
+                                startWaiting();
+                                if (admission.queued() > 0) {
+                                    scheduleQueueTick();
+                                }
+                            });
+        }
     }
 
     private void start(Waiting call) {
@@ -119,12 +214,14 @@
         running.put(
                 attemptId,
                 target.start(call.demandNanos, () -> finish(call, attemptId, startNanos)));
+        checkSpeedAfterStart();
     }
 
     private void finish(Waiting call, AttemptId attemptId, long startNanos) {
         running.remove(attemptId);
         long now = now();
         admission.onEnded(attemptId.call, attemptId.attempt, now - startNanos, false, now);
+        onSpeed();
         startWaiting();
         call.onAnswer.accept(new Answer(Optional.empty(), report()));
     }
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedIngress.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedIngress.java
@@ -16,6 +16,7 @@
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.model.CallDescription;
 import org.dogwoodwood.core.model.CallId;
+import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.Outcome;
 import org.dogwoodwood.core.retry.DefaultRetryStrategy;
@@ -55,7 +56,14 @@
     }
 
     void accept(SimulatedCall call) {
-        new CallInProgress(call).sendNext();
+        CallInProgress started = new CallInProgress(call);
+        started.sendNext();
+        world.events().at(call.ingressDeadlineNanos(), started::endAtDeadline);
+    }
+
+    /** Takes in a report that came without an answer. */
+    void onReport(LoadReport report) {
+        balancing.onReport(report, world.events().nowNanos());
     }
 
     void setCandidates(List<Candidate> newCandidates) {
@@ -64,6 +72,8 @@
 
     /** A call that has not been answered yet. */
     private final class CallInProgress {
+        private static final long SPEED_CHECK_NANOS = 25_000_000L;
+
         private final SimulatedCall call;
         private final long arrivedNanos = world.events().nowNanos();
         private final Set<NodeId> refusedBy = new HashSet<>();
@@ -77,6 +87,7 @@
         private int attempts;
         private boolean ended;
         private boolean hedgeScheduled;
+        private boolean startedSlow;
 
         CallInProgress(SimulatedCall call) {
             this.call = call;
@@ -99,13 +110,48 @@
             }
         }
 
+        void endAtDeadline() {
+            if (!ended) {
+                end();
+                world.fail(call);
+                cancel(first);
+                cancel(hedge);
+            }
+        }
+
         private void scheduleHedge() {
+            if (balancing.tellsSpeed(first.node)) {
+                world.events().after(SPEED_CHECK_NANOS, this::hedgeSlowStart);
+                return;
+            }
             OptionalLong delay = hedges.delayNanos();
             if (delay.isPresent()) {
                 world.events().after(delay.getAsLong(), this::sendHedge);
             }
         }
 
+        /** Work that has started in a slow phase stays slow after its end. */
+        private void hedgeSlowStart() {
+            if (ended) {
+                return;
+            }
+            long now = world.events().nowNanos();
+            startedSlow |= first != null && balancing.isSlow(first.node, now);
+            Set<NodeId> excluded = new HashSet<>(refusedBy);
+            if (first != null) {
+                excluded.add(first.node);
+            }
+            Optional<NodeId> node = choose(excluded).filter(other -> !balancing.isSlow(other, now));
+            boolean hedges = startedSlow && first != null && hedge == null && node.isPresent();
+            if (hedges && SimulatedIngress.this.hedges.tryHedge()) {
+                world.measurements().onHedge(call);
+                hedge = send(node.get(), false);
+            }
+            if (hedge == null) {
+                world.events().after(SPEED_CHECK_NANOS, this::hedgeSlowStart);
+            }
+        }
+
         private void sendHedge() {
             if (ended) {
                 return;
@@ -140,7 +186,7 @@
                             call.number(),
                             0,
                             call.ingressDeadlineNanos(),
-                            call.ingressDeadlineNanos(),
+                            call.ingressObjectiveNanos(),
                             mayQueue);
             world.measurements().onAttempt(call);
             balancing.onSent(node, world.events().nowNanos());
@@ -151,6 +197,7 @@
                     () ->
                             policy.guard(to)
                                     .offer(
+                                            index,
                                             description,
                                             call.demandNanos(),
                                             answer ->
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/report/Row.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/report/Row.java
@@ -20,6 +20,7 @@
  * @param p99Millis the 99th percentile, in milliseconds
  * @param p999Millis the 99.9th percentile, in milliseconds
  * @param goodput the share of the calls that were answered in time
+ * @param inTime the share of the calls that were answered within the latency objective
  * @param capacityShare the work of those answers as a share of what the targets could do
  * @param refused the share of the calls that were refused and not run
  * @param failed the share of the calls that were dropped or answered late
@@ -43,6 +44,7 @@
         @JsonProperty("p99_ms") double p99Millis,
         @JsonProperty("p999_ms") double p999Millis,
         double goodput,
+        @JsonProperty("in_time") double inTime,
         @JsonProperty("capacity_share") double capacityShare,
         double refused,
         double failed,
@@ -74,6 +76,7 @@
                 millis(answered, 99),
                 millis(answered, 99.9),
                 answered.getTotalCount() / calls,
+                measured.inTime() / calls,
                 measured.usefulNanos() / world.availableNanos(),
                 measured.refused() / calls,
                 measured.failed() / calls,
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/Measurements.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/Measurements.java
@@ -12,6 +12,7 @@
     private final long fromNanos;
     private final long untilNanos;
     private long calls;
+    private long inTime;
     private long refused;
     private long failed;
     private long messages;
@@ -31,7 +32,9 @@
 
     void onAnswered(SimulatedCall call, long callerNanos, long ingressNanos) {
         if (counts(call)) {
-            answered.recordValue(Math.min(MAX_NANOS, callerNanos - call.sentNanos()));
+            long latencyNanos = callerNanos - call.sentNanos();
+            answered.recordValue(Math.min(MAX_NANOS, latencyNanos));
+            inTime += latencyNanos <= call.times().objectiveNanos() ? 1 : 0;
         }
         if (inWindow(ingressNanos)) {
             usefulNanos += call.demandNanos();
@@ -96,6 +99,11 @@
         return calls;
     }
 
+    /** Returns the calls that were answered within the latency objective. */
+    public long inTime() {
+        return inTime;
+    }
+
     /** Returns the calls that were refused and not run. */
     public long refused() {
         return refused;
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/ServiceTimes.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/ServiceTimes.java
@@ -17,6 +17,13 @@
             return Math.exp(random.nextGaussian() - 0.5);
         }
     },
+    /** Log-normal with sigma 0.3. */
+    EVEN("even") {
+        @Override
+        double sampleUnit(SplittableRandom random) {
+            return Math.exp(EVEN_SIGMA * random.nextGaussian() - EVEN_SIGMA * EVEN_SIGMA / 2);
+        }
+    },
     /** One call in a hundred takes 20 times as long; both kinds vary by a tenth. */
     BIMODAL("bimodal") {
         @Override
@@ -27,8 +34,7 @@
         }
     };
 
-    public static final double MEAN_NANOS = 6e6;
-
+    private static final double EVEN_SIGMA = 0.3;
     private static final double LONG_SHARE = 0.01;
     private static final double LONG_RATIO = 20;
 
@@ -43,9 +49,9 @@
         return label;
     }
 
-    /** Returns the work of one call, in nanoseconds at full speed. */
-    public double sampleNanos(SplittableRandom random) {
-        return MEAN_NANOS * sampleUnit(random);
+    /** Returns the work of one call with a mean, in nanoseconds at full speed. */
+    public double sampleNanos(double meanNanos, SplittableRandom random) {
+        return meanNanos * sampleUnit(random);
     }
 
     abstract double sampleUnit(SplittableRandom random);
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/SimulatedCall.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/SimulatedCall.java
@@ -10,6 +10,7 @@
  * @param demandNanos the work that it asks for, in nanoseconds at full speed; a hedge asks for the
  *     same
  * @param idempotent whether it may run twice
+ * @param times how long its caller waits
  */
 public record SimulatedCall(
         long number,
@@ -17,10 +18,16 @@
         int ingress,
         long sentNanos,
         double demandNanos,
-        boolean idempotent) {
+        boolean idempotent,
+        CallTimes times) {
 
     /** Returns when the ingress must have the answer for the caller to have it in time. */
     public long ingressDeadlineNanos() {
-        return sentNanos + Workload.TIMEOUT_NANOS - Workload.CALLER_DISTANCE_NANOS;
+        return sentNanos + times.timeoutNanos() - Workload.CALLER_DISTANCE_NANOS;
+    }
+
+    /** Returns until when an answer has its full value at the ingress. */
+    public long ingressObjectiveNanos() {
+        return sentNanos + times.objectiveNanos() - Workload.CALLER_DISTANCE_NANOS;
     }
 }
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/SimulatedTarget.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/SimulatedTarget.java
@@ -12,6 +12,7 @@
 
     private final EventQueue events;
     private final int slots;
+    private final TargetModel model;
     private final PriorityQueue<Run> runs = new PriorityQueue<>();
     private double neighbourSpeed = 1;
     private boolean cold;
@@ -24,9 +25,10 @@
     private long version;
     private boolean accounting;
 
-    SimulatedTarget(EventQueue events, int slots) {
+    SimulatedTarget(EventQueue events, int slots, TargetModel model) {
         this.events = events;
         this.slots = slots;
+        this.model = model;
     }
 
     /** A call that the target works on. */
@@ -60,8 +62,21 @@
         return cold;
     }
 
+    /** Returns whether the target tells its speed. */
+    public boolean tellsSpeed() {
+        return model.tellsSpeed();
+    }
+
+    /** Returns how long work that starts now takes for its neighbours, 1 without any. */
+    public double toldSlowdown() {
+        return 1 / neighbourSpeed;
+    }
+
     /** Returns the present speed of each slot, 1 without a neighbour. */
     public double speed() {
+        if (model.tellsSpeed()) {
+            return 1;
+        }
         boolean overloaded = cold && runs.size() > COLD_SLOTS;
         return overloaded ? neighbourSpeed * COLD_SLOTS / runs.size() : neighbourSpeed;
     }
@@ -74,7 +89,8 @@
             openConnections++;
             connect = Workload.CONNECT_NANOS;
         }
-        Run run = new Run(workNanos + demandNanos + connect, onDone);
+        double slowdown = model.slowdownAtStart(neighbourSpeed, runs.size() + 1, slots);
+        Run run = new Run(workNanos + slowdown * demandNanos + connect, onDone);
         runs.add(run);
         peakRuns = Math.max(peakRuns, runs.size());
         schedule();
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/Workload.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/Workload.java
@@ -11,17 +11,32 @@
  * @param dataCentreDistanceNanos the one-way delay between data centres, in nanoseconds
  * @param targetsByService the number of targets of each service
  * @param slots the calls that a target works on at a time
+ * @param model how targets and their neighbours behave
+ * @param times how long calls take and their callers wait
  */
 public record Workload(
         String name,
         int dataCentres,
         long dataCentreDistanceNanos,
         List<Integer> targetsByService,
-        int slots) {
+        int slots,
+        TargetModel model,
+        CallTimes times) {
 
-    public static final Workload GUIDES = new Workload("guides", 4, 500_000, List.of(4, 4, 4), 18);
+    public static final Workload GUIDES = ofShortCalls("guides", 4, 500_000, List.of(4, 4, 4), 18);
     public static final Workload ASSOCIATION =
-            new Workload("association", 3, 1_500_000, List.of(4, 3, 3), 6);
+            ofShortCalls("association", 3, 1_500_000, List.of(4, 3, 3), 6);
+
+    /** Many small targets with long calls and long slow phases, called from more nodes. */
+    public static final Workload LONG_PHASES =
+            new Workload(
+                    "long-phases",
+                    4,
+                    1_400_000,
+                    List.of(34, 26, 14),
+                    4,
+                    TargetModel.SPEED_AT_START,
+                    CallTimes.LONG);
 
     /** The one-way delay between a caller and its ingress, in nanoseconds. */
     public static final long CALLER_DISTANCE_NANOS = 3_000_000;
@@ -30,7 +45,6 @@
     public static final long LOCAL_DISTANCE_NANOS = 50_000;
 
     public static final long CONNECT_NANOS = 1_000_000;
-    public static final long TIMEOUT_NANOS = 2_000_000_000L;
 
     /**
      * One node and the target beside it.
@@ -41,6 +55,22 @@
      */
     public record Place(int index, int service, int dataCentre) {}
 
+    private static Workload ofShortCalls(
+            String name,
+            int dataCentres,
+            long dataCentreDistanceNanos,
+            List<Integer> targetsByService,
+            int slots) {
+        return new Workload(
+                name,
+                dataCentres,
+                dataCentreDistanceNanos,
+                targetsByService,
+                slots,
+                TargetModel.SHARED_SPEED,
+                CallTimes.SHORT);
+    }
+
     /** Returns all nodes; the targets of a service are spread over the data centres in turn. */
     public List<Place> places() {
         List<Place> places = new ArrayList<>();
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/World.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/simulation/World.java
@@ -25,7 +25,9 @@
         this.measurements = measurements;
         this.dataCentreOut = new boolean[scenario.workload().dataCentres()];
         for (int i = 0; i < places.size(); i++) {
-            targets.add(new SimulatedTarget(events, scenario.workload().slots()));
+            targets.add(
+                    new SimulatedTarget(
+                            events, scenario.workload().slots(), scenario.workload().model()));
         }
     }
 
@@ -50,14 +52,15 @@
     public void run(Arrivals arrivals) {
         SplittableRandom seeds = new SplittableRandom(scenario.seed());
         for (SimulatedTarget target : targets) {
-            new NoisyNeighbours(events, target, seeds.split()).start();
+            NeighbourPattern pattern = scenario.workload().model().neighbours();
+            new NoisyNeighbours(events, target, pattern, seeds.split()).start();
         }
         for (int service = 0; service < scenario.workload().targetsByService().size(); service++) {
             new CallStream(service, seeds.split(), arrivals).scheduleNext();
         }
         events.at(measurements.fromNanos(), () -> targets.forEach(SimulatedTarget::startAccounts));
         events.at(measurements.untilNanos(), () -> targets.forEach(SimulatedTarget::closeAccounts));
-        events.runUntil(scenario.endNanos() + 2 * Workload.TIMEOUT_NANOS);
+        events.runUntil(scenario.endNanos() + 2 * scenario.workload().times().timeoutNanos());
     }
 
     /** Carries a frame from one node to another and then runs the action. */
@@ -157,7 +160,8 @@
             this.arrivals = arrivals;
             Workload workload = scenario.workload();
             double slots = workload.slots() * workload.targetsByService().get(service);
-            double capacity = slots * NoisyNeighbours.meanSpeed() / ServiceTimes.MEAN_NANOS;
+            double speed = workload.model().neighbours().meanSpeed();
+            double capacity = slots * speed / workload.times().meanNanos();
             this.gapNanos = 1 / (capacity * scenario.load());
         }
 
@@ -171,11 +175,13 @@
             if (now >= scenario.endNanos()) {
                 return;
             }
-            double demand = scenario.serviceTimes().sampleNanos(random);
+            CallTimes times = scenario.workload().times();
+            double demand = scenario.serviceTimes().sampleNanos(times.meanNanos(), random);
             boolean idempotent = random.nextDouble() < IDEMPOTENT_SHARE;
             int ingress = chooseIngress();
             SimulatedCall call =
-                    new SimulatedCall(nextNumber++, service, ingress, now, demand, idempotent);
+                    new SimulatedCall(
+                            nextNumber++, service, ingress, now, demand, idempotent, times);
             measurements.onCall(call);
             events.after(Workload.CALLER_DISTANCE_NANOS, () -> arrivals.onArrival(call));
             scheduleNext();
