Start no call in a slow phase of up to 1.5 s, in place of 0.3 s

Cause: a guard held calls in a slow phase of its target for 300 ms and started them then, seven times slower. Phases there last 0.5 s and more, so held calls started in the phase, kept their slots for 0.6 s and mostly ran into their deadlines: in the burst they were a sixth of the starts and held a third of the slot time of the log browser, though the guard had heard the speed 5 ms before (median).

A guard now starts nothing in a phase of up to 1.5 s. Calls that may run elsewhere are refused, and those in the queue placed anew as soon as the phase begins.

--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -97,7 +97,7 @@
             start(call);
             return AdmissionDecision.start();
         }
-        if (!call.mayQueue()) {
+        if (!call.mayQueue() || (isHolding(nowNanos) && mayMoveAgain(call))) {
             return AdmissionDecision.refuse(ErrorCode.GUARD_BUSY);
         }
         double waitNanos = expectedWaitNanos(call.callClass());
@@ -140,7 +140,7 @@
     @Override
     public List<CallDescription> removeMovable(long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        if (estimate.isSlow()) {
+        if (estimate.isSlow() || isHolding(nowNanos)) {
             return queue.removeAttemptsBelow(MAX_MOVABLE_ATTEMPT, nowNanos);
         }
         // Calls that started in a slow phase keep their slots long after a target has told its end.
@@ -264,7 +264,11 @@
     }
 
     private boolean isMovable(CallDescription call) {
-        return estimate.isSlow() && call.attempt() < MAX_MOVABLE_ATTEMPT;
+        return estimate.isSlow() && mayMoveAgain(call);
+    }
+
+    private static boolean mayMoveAgain(CallDescription call) {
+        return call.attempt() < MAX_MOVABLE_ATTEMPT;
     }
 
     private double expectedWaitNanos(String callClass) {
--- a/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
@@ -11,8 +11,11 @@
     /** Below this slowdown, a call that starts at once ends sooner than one that waits. */
     private static final double HOLD_RATIO = 3.0;
 
-    /** Slow phases caused by neighbours end within this time; slower targets stay slow. */
-    private static final long MAX_PHASE_NANOS = 300_000_000L;
+    /**
+     * Most slow phases caused by neighbours end within this time; a target that is slow for longer
+     * stays so.
+     */
+    private static final long MAX_PHASE_NANOS = 1_500_000_000L;
 
     private double slowdown;
     private double mean = 1;
--- a/node/src/main/java/org/dogwoodwood/node/guard/SpeedWatch.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/SpeedWatch.java
@@ -11,8 +11,8 @@
  * Keeps the speed that the target tells of itself recent where a decision depends on it; used on
  * the traffic loop only.
  *
- * <p>Neighbours on the VM slow a target for about a tenth of a second, and work that starts in such
- * a phase stays slow. So a call whose target has not told its speed for a time waits for the answer
+ * <p>Neighbours on the VM slow a target for up to a second or more, and work that starts in such a
+ * phase stays slow. So a call whose target has not told its speed for a time waits for the answer
  * to one poll, the end of a phase is noticed at once, and so is a phase that began before a start.
  */
 final class SpeedWatch {
