Take the usual service time of a target from the speeds at which its calls started

Cause: a guard divided the mean time of its calls by the mean of all speeds that its target told. It asks often in slow phases, but starts no calls there, so a target with calls of 130 ms reported some 40 ms. Senders expected a third of the wait at full targets, chose them, and let calls queue there while others had room.

The mean is now taken over the starts of calls. The new test of the reported time fails without the change.

--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -94,7 +94,7 @@
         int startLimit = call.mayQueue() ? limit() : preferredLimit(nowNanos);
         boolean free = queue.size() == 0 && inFlight() < startLimit && !isHolding(nowNanos);
         if (free && mayStartCold(nowNanos)) {
-            start(call);
+            start(call, nowNanos);
             return AdmissionDecision.start();
         }
         if (!call.mayQueue() || (isHolding(nowNanos) && mayMoveAgain(call))) {
@@ -124,7 +124,7 @@
         }
         removeHopeless(nowNanos);
         Optional<CallDescription> next = queue.poll(nowNanos, (long) estimate.recentNanos());
-        next.ifPresent(this::start);
+        next.ifPresent(call -> start(call, nowNanos));
         return next;
     }
 
@@ -210,7 +210,7 @@
     public long serviceTimeNanos(long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
         return speed.slowdown(nowNanos) > 0
-                ? (long) (estimate.baselineNanos() / speed.mean())
+                ? (long) (estimate.baselineNanos() / speed.meanAtStarts())
                 : (long) estimate.significantNanos();
     }
 
@@ -291,8 +291,9 @@
         return coldRate.allows(nowNanos) || !capacity.cold();
     }
 
-    private void start(CallDescription call) {
+    private void start(CallDescription call, long nowNanos) {
         coldRate.onStart();
+        speed.onStarted(nowNanos);
         classInFlight.put(new AttemptKey(call.id(), call.attempt()), call.callClass());
         inFlightByClass.merge(call.callClass(), 1, Integer::sum);
     }
--- a/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
@@ -6,7 +6,7 @@
     /** A speed that was told longer ago says little of the present one. */
     private static final long VALID_NANOS = 500_000_000L;
 
-    private static final double MEAN_WEIGHT = 0.01;
+    private static final double START_WEIGHT = 0.02;
 
     /** Below this slowdown, a call that starts at once ends sooner than one that waits. */
     private static final double HOLD_RATIO = 3.0;
@@ -18,7 +18,7 @@
     private static final long MAX_PHASE_NANOS = 1_500_000_000L;
 
     private double slowdown;
-    private double mean = 1;
+    private double meanAtStarts = 1;
     private long toldNanos;
     private long slowSinceNanos;
 
@@ -29,7 +29,14 @@
         }
         slowdown = told;
         toldNanos = nowNanos;
-        mean += MEAN_WEIGHT * (told - mean);
+    }
+
+    /** Takes in that a call starts at the present speed. */
+    void onStarted(long nowNanos) {
+        double present = slowdown(nowNanos);
+        if (present > 0) {
+            meanAtStarts += START_WEIGHT * (present - meanAtStarts);
+        }
     }
 
     /** Returns whether the target tells its speed. */
@@ -50,8 +57,8 @@
         return slowdown(nowNanos) >= HOLD_RATIO && nowNanos - slowSinceNanos < MAX_PHASE_NANOS;
     }
 
-    /** Returns the mean of what was told, which the mean service time contains. */
-    double mean() {
-        return mean;
+    /** Returns the mean speed at which calls started, which their mean time contains. */
+    double meanAtStarts() {
+        return meanAtStarts;
     }
 }
--- a/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
@@ -131,6 +131,24 @@
         assertThat(offer("gold", true).kind()).isEqualTo(Kind.START);
     }
 
+    // A guard asks more often in slow phases than it starts calls; senders that take the target for
+    // faster than it is expect shorter waits there than their calls will have.
+    @Test
+    void reportsTheUsualTimeOfATargetThatIsAskedMostlyInSlowPhases() {
+        for (int i = 0; i < 80; i++) {
+            for (int poll = 0; poll < 5; poll++) {
+                controller.onSlowdown(7.0, now);
+            }
+            controller.onSlowdown(1.0, now);
+            CallDescription call = call("gold", true, now + DEADLINE);
+            assertThat(controller.offer(call, now).kind()).isEqualTo(Kind.START);
+            now += 100 * MILLI;
+            controller.onEnded(call.id(), 0, 100 * MILLI, false, now);
+        }
+
+        assertThat(controller.serviceTimeNanos(now)).isBetween(90 * MILLI, 110 * MILLI);
+    }
+
     // A target that accepts fewer connections than it has slots would refuse the surplus calls.
     @Test
     void connectionsBoundCallsInFlight() {
