Leave slots free with which a target completes less

Guards filled all slots, so in the burst four calls at a time completed less than three would, and the service stayed full after it.

Guards of targets that tell their speed begin with four fifths of the slots. While calls wait and the cost of one more is not known, every fifth start may go above the limit; the limit follows the completions per time at either number, so a target that keeps its speed gets all its calls. Two tests of queued calls filled four slots of a target that tells its speed; they fill it to its limit now and check that each of these calls starts.

--- a/benchmarks/src/test/java/org/dogwoodwood/benchmarks/LongPhaseLoadTests.java
+++ b/benchmarks/src/test/java/org/dogwoodwood/benchmarks/LongPhaseLoadTests.java
@@ -6,7 +6,6 @@
 import org.dogwoodwood.benchmarks.simulation.Scenario;
 import org.dogwoodwood.benchmarks.simulation.ServiceTimes;
 import org.dogwoodwood.benchmarks.simulation.Workload;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -30,7 +29,6 @@
     // Slots that are held by work begun in slow phases, or that slow their target down, are
     // missing.
     @Test
-    @Tag("known-red")
     void answersABurstInTimeWhileAThirdOfTheTargetsIsSlow() {
         SoftAssertions softly = new SoftAssertions();
         for (long seed = 1; seed <= SEEDS; seed++) {
--- a/core/src/main/java/org/dogwoodwood/core/admission/AdaptiveLimit.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/AdaptiveLimit.java
@@ -8,7 +8,7 @@
 final class AdaptiveLimit {
 
     /** Smaller slowdowns are within the noise of few completions. */
-    private static final double TOLERATED_SLOWDOWN = 1.5;
+    static final double TOLERATED_SLOWDOWN = 1.5;
 
     private static final int MIN_LIMIT = 1;
 
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -44,8 +44,9 @@
     private final ServiceTimeEstimate estimate;
     private final ColdStartRamp ramp;
     private final ToldSpeed speed = new ToldSpeed();
+    private final CrowdingLimit crowding = CrowdingLimit.create();
     private ColdRate coldRate;
-    private final Map<AttemptKey, String> classInFlight = new HashMap<>();
+    private final Map<AttemptKey, Start> inFlight = new HashMap<>();
     private final Map<String, Integer> inFlightByClass = new HashMap<>();
     private final List<CallDescription> expired = new ArrayList<>();
     private TargetCapacity capacity;
@@ -118,8 +119,10 @@
     @Override
     public Optional<CallDescription> nextStartable(long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        boolean free = inFlight() < limit() && !isHolding(nowNanos);
-        if (queue.size() == 0 || !free || !mayStartCold(nowNanos)) {
+        if (queue.size() == 0 || isHolding(nowNanos) || !mayStartCold(nowNanos)) {
+            return Optional.empty();
+        }
+        if (inFlight() >= limit() && !mayTryAboveLimit()) {
             return Optional.empty();
         }
         removeHopeless(nowNanos);
@@ -152,9 +155,13 @@
     @Override
     public void onEnded(
             CallId id, int attempt, long serviceTimeNanos, boolean failed, long nowNanos) {
-        if (!remove(id, attempt, nowNanos)) {
+        Optional<Start> start = remove(id, attempt, nowNanos);
+        if (start.isEmpty()) {
             return;
         }
+        if (start.get().usual && !failed) {
+            crowding.onCompleted(start.get().inFlight, serviceTimeNanos);
+        }
         errorRatio += ERROR_WEIGHT * ((failed ? 1 : 0) - errorRatio);
         if (!failed) {
             // Fast failures must not look like a fast target.
@@ -193,7 +200,7 @@
 
     @Override
     public int inFlight() {
-        return classInFlight.size();
+        return inFlight.size();
     }
 
     @Override
@@ -203,7 +210,7 @@
 
     @Override
     public int limit() {
-        return ramp.bound(Math.min(capacity.slots(), capacity.connections()));
+        return ramp.bound(speed.isTold() ? crowding.limit(usableSlots()) : usableSlots());
     }
 
     @Override
@@ -234,6 +241,15 @@
         return errorRatio;
     }
 
+    private int usableSlots() {
+        return Math.min(capacity.slots(), capacity.connections());
+    }
+
+    /** A cold target and one that does not tell its speed are not comparable at full load. */
+    private boolean mayTryAboveLimit() {
+        return speed.isTold() && !capacity.cold() && crowding.tryAbove(inFlight());
+    }
+
     /** Returns the calls in flight up to which calls that could run elsewhere are started. */
     private int preferredLimit(long nowNanos) {
         double told = speed.slowdown(nowNanos);
@@ -294,20 +310,33 @@
     private void start(CallDescription call, long nowNanos) {
         coldRate.onStart();
         speed.onStarted(nowNanos);
-        classInFlight.put(new AttemptKey(call.id(), call.attempt()), call.callClass());
+        crowding.onStarted();
+        Start start = new Start(call.callClass(), inFlight() + 1, isUsual(nowNanos));
+        inFlight.put(new AttemptKey(call.id(), call.attempt()), start);
         inFlightByClass.merge(call.callClass(), 1, Integer::sum);
     }
 
-    private boolean remove(CallId id, int attempt, long nowNanos) {
+    private boolean isUsual(long nowNanos) {
+        double told = speed.slowdown(nowNanos);
+        return told > 0 && told < AdaptiveLimit.TOLERATED_SLOWDOWN && !capacity.cold();
+    }
+
+    private Optional<Start> remove(CallId id, int attempt, long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        String callClass = classInFlight.remove(new AttemptKey(id, attempt));
-        if (callClass == null) {
-            return false;
-        }
-        inFlightByClass.merge(callClass, -1, Integer::sum);
-        return true;
+        Optional<Start> start = Optional.ofNullable(inFlight.remove(new AttemptKey(id, attempt)));
+        start.ifPresent(ended -> inFlightByClass.merge(ended.callClass, -1, Integer::sum));
+        return start;
     }
 
+    /**
+     * How an attempt in flight began.
+     *
+     * @param callClass its class
+     * @param inFlight the calls in flight then, with itself
+     * @param usual whether the target told its usual speed and was warm
+     */
+    private record Start(String callClass, int inFlight, boolean usual) {}
+
     /** One attempt of a call. */
     private record AttemptKey(CallId id, int attempt) {}
 }
--- a/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/admission/DefaultAdmissionControllerTests.java
@@ -59,9 +59,7 @@
     @Test
     void letsCallsThatHaveWaitedLongBePlacedAnew() {
         controller.onSlowdown(1.0, now);
-        for (int i = 0; i < 4; i++) {
-            offer("gold", true);
-        }
+        fillSlots();
         CallDescription waiting = call("gold", true, DEADLINE);
         assertThat(controller.offer(waiting, now).kind()).isEqualTo(Kind.QUEUE);
         assertThat(controller.removeMovable(now)).isEmpty();
@@ -321,8 +319,8 @@
     }
 
     private void fillSlots() {
-        for (int i = 0; i < 4; i++) {
-            offer("gold", true);
+        for (int i = controller.limit(); i > 0; i--) {
+            assertThat(offer("gold", true).kind()).isEqualTo(Kind.START);
         }
     }
 
