Ask further guards while the expected wait is short for the calls of a service

Cause: a call whose expected wait was above 12 ms was allowed to queue at the first guard, since all targets seemed busy; a guard that could not queue it refused it as OVERLOADED, which is final. 12 ms is two calls of 6 ms, but a tenth of a log view, so log views were refused within milliseconds while other targets had free slots.

The wait is now compared with 0.3 of the usual service time too, so nothing changes for calls below 40 ms. RetryTests checks a service with long calls; it fails to compile without the change, and the old rule allowed a call of 130 ms to queue at once after 30 ms of expected wait.

--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedIngress.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedIngress.java
@@ -103,7 +103,8 @@
                 return;
             }
             long wait = balancing.expectedWaitNanos(node.get(), world.events().nowNanos());
-            first = send(node.get(), retries.mayQueue(attempts, untried, wait));
+            boolean mayQueue = retries.mayQueue(attempts, untried, wait, balancing.serviceNanos());
+            first = send(node.get(), mayQueue);
             if (!hedgeScheduled && call.idempotent()) {
                 hedgeScheduled = true;
                 scheduleHedge();
--- a/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
@@ -63,6 +63,11 @@
         return 0;
     }
 
+    /** Returns how long calls usually take, in nanoseconds; 0 if that is not known. */
+    default long serviceNanos() {
+        return 0;
+    }
+
     /**
      * Returns whether a call at a node probably takes much longer than it would at another one, so
      * that a hedge can help. A call whose own work is long gains nothing from a hedge.
--- a/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
@@ -105,6 +105,11 @@
         return load.isKnown() ? (long) waitNanos(load, nowNanos) : 0;
     }
 
+    @Override
+    public long serviceNanos() {
+        return (long) table.ordinaryServiceNanos();
+    }
+
     @Override
     public boolean isSlow(NodeId node, long nowNanos) {
         return table.of(node).slowdown(nowNanos) >= SLOW_RATIO;
--- a/core/src/main/java/org/dogwoodwood/core/retry/RetryStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/retry/RetryStrategy.java
@@ -10,11 +10,18 @@
     int WAITED_ATTEMPT = 3;
 
     /**
-     * If even the chosen target probably makes a call wait longer than this, all targets are busy,
-     * and asking them in turn would only delay a refusal.
+     * If even the chosen target probably makes a call wait longer than this and than {@link
+     * #QUEUE_AT_ONCE_WAIT_RATIO}, all targets are busy, and asking them in turn would only delay a
+     * refusal.
      */
     long QUEUE_AT_ONCE_WAIT_NANOS = 12_000_000;
 
+    /**
+     * The same as a share of the usual service time: compared with a shorter wait, asking further
+     * guards costs a long call next to nothing.
+     */
+    double QUEUE_AT_ONCE_WAIT_RATIO = 0.3;
+
     /**
      * Returns whether the guard may queue the next attempt. A guard without a free slot refuses
      * other attempts at once, so that the ingress can try elsewhere.
@@ -31,10 +38,14 @@
      * @param untriedTargets the candidates that have not refused the call
      * @param expectedWaitNanos how long the call would probably wait at the chosen target, in
      *     nanoseconds
+     * @param serviceNanos how long calls of the service usually take, in nanoseconds; 0 if that is
+     *     not known
      */
-    default boolean mayQueue(int attemptsMade, int untriedTargets, long expectedWaitNanos) {
-        return expectedWaitNanos > QUEUE_AT_ONCE_WAIT_NANOS
-                || mayQueue(attemptsMade, untriedTargets);
+    default boolean mayQueue(
+            int attemptsMade, int untriedTargets, long expectedWaitNanos, long serviceNanos) {
+        double allBusyNanos =
+                Math.max(QUEUE_AT_ONCE_WAIT_NANOS, QUEUE_AT_ONCE_WAIT_RATIO * serviceNanos);
+        return expectedWaitNanos > allBusyNanos || mayQueue(attemptsMade, untriedTargets);
     }
 
     /**
--- a/core/src/test/java/org/dogwoodwood/core/retry/RetryTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/retry/RetryTests.java
@@ -79,9 +79,18 @@
     // When every target makes calls wait, asking them in turn delays the refusal by round trips.
     @Test
     void queuesAtOnceWhenEvenTheBestTargetMakesCallsWait() {
-        assertThat(strategy.mayQueue(0, 4, 1_000_000)).isFalse();
-        assertThat(strategy.mayQueue(2, 2, 1_000_000)).isTrue();
-        assertThat(strategy.mayQueue(0, 4, 80_000_000)).isTrue();
+        assertThat(strategy.mayQueue(0, 4, 1_000_000, 6_000_000)).isFalse();
+        assertThat(strategy.mayQueue(2, 2, 1_000_000, 6_000_000)).isTrue();
+        assertThat(strategy.mayQueue(0, 4, 13_000_000, 6_000_000)).isTrue();
+        assertThat(strategy.mayQueue(0, 4, 80_000_000, 0)).isTrue();
+    }
+
+    // A wait of a small part of a long call was taken for a sign that all targets are full, so that
+    // calls were refused as overloaded by the first guard while others had free slots.
+    @Test
+    void asksFurtherGuardsWhileTheWaitIsShortForALongCall() {
+        assertThat(strategy.mayQueue(0, 4, 30_000_000, 130_000_000)).isFalse();
+        assertThat(strategy.mayQueue(0, 4, 50_000_000, 130_000_000)).isTrue();
     }
 
     // A call that has waited in a queue must not be refused as overloaded by the next guard.
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -121,7 +121,8 @@
             return;
         }
         long waitNanos = state.expectedWaitNanos(target.get().node(), nowNanos);
-        boolean mayQueue = state.retries().mayQueue(attemptsMade, untried, waitNanos);
+        boolean mayQueue =
+                state.retries().mayQueue(attemptsMade, untried, waitNanos, state.serviceNanos());
         send(target.get(), mayQueue || isKeyed(), nowNanos);
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -148,6 +148,10 @@
         return strategy.expectedWaitNanos(node, nowNanos);
     }
 
+    long serviceNanos() {
+        return strategy.serviceNanos();
+    }
+
     boolean isSlow(NodeId node, long nowNanos) {
         return strategy.isSlow(node, nowNanos);
     }
