--- a/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
@@ -98,6 +98,15 @@
         return 0;
     }
 
+    /**
+     * Returns whether work that starts now takes several times as long as usual.
+     *
+     * @param nowNanos the present time in nanoseconds
+     */
+    default boolean isSlow(long nowNanos) {
+        return false;
+    }
+
     /**
      * Returns whether queued calls wait for the end of a slow phase of the target.
      *
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -231,6 +231,11 @@
         return speed.slowdown(nowNanos);
     }
 
+    @Override
+    public boolean isSlow(long nowNanos) {
+        return speed.isSlow(nowNanos);
+    }
+
     @Override
     public boolean isHolding(long nowNanos) {
         return speed.isInSlowPhase(nowNanos);
--- a/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/ToldSpeed.java
@@ -24,7 +24,7 @@
 
     /** Takes in a speed. */
     void onSlowdown(double told, long nowNanos) {
-        if (told >= HOLD_RATIO && slowdown(nowNanos) < HOLD_RATIO) {
+        if (told >= HOLD_RATIO && !isSlow(nowNanos)) {
             slowSinceNanos = nowNanos;
         }
         slowdown = told;
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Returns whether a call that starts now probably ends later than one that waits. */
+    boolean isSlow(long nowNanos) {
+        return slowdown(nowNanos) >= HOLD_RATIO;
+    }
+
     /** Returns whether the target tells its speed. */
     boolean isTold() {
         return slowdown > 0;
@@ -54,7 +59,7 @@
      * it takes several times as long, also after its end.
      */
     boolean isInSlowPhase(long nowNanos) {
-        return slowdown(nowNanos) >= HOLD_RATIO && nowNanos - slowSinceNanos < MAX_PHASE_NANOS;
+        return isSlow(nowNanos) && nowNanos - slowSinceNanos < MAX_PHASE_NANOS;
     }
 
     /** Returns the mean speed at which calls started, which their mean time contains. */
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -310,7 +310,10 @@
     private StartConditions startConditions(long nowNanos) {
         AdmissionController current = admission.get();
         return new StartConditions(
-                current.slowdown(nowNanos), monitor.speedAgeNanos(nowNanos), current.inFlight());
+                current.slowdown(nowNanos),
+                current.isSlow(nowNanos),
+                monitor.speedAgeNanos(nowNanos),
+                current.inFlight());
     }
 
     private void onResult(GuardedCall call, TargetResult result) {
@@ -318,7 +321,7 @@
         metrics.onTargetResult(
                 call.description().service(),
                 call.description().callClass(),
-                call.startConditions().isSlow(),
+                call.startConditions().slow(),
                 call.waitNanos(nowNanos),
                 call.serviceTimeNanos(nowNanos));
         admission
