Poll targets less often in slow phases, and not after each start

Cause: a guard polled its target 30 ms after starts and every 40 ms in a slow phase. What the poll after a start told, the next answer or the poll before the next start tells soon enough.

The poll after a start is gone; in a slow phase the target is polled every 80 ms.

--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedGuard.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedGuard.java
@@ -29,7 +29,7 @@
     private static final long QUEUE_TICK_NANOS = 5_000_000;
     private static final long RECENT_NANOS = 500_000_000;
     private static final long FRESH_NANOS = 30_000_000;
-    private static final long SLOW_POLL_NANOS = 40_000_000;
+    private static final long SLOW_POLL_NANOS = 80_000_000;
     private static final long STILL_SLOW_POLL_NANOS = 200_000_000;
     private static final long POLL_INTERVAL_NANOS = 250_000_000;
     private static final long NANOS_PER_MICRO = 1_000;
@@ -48,7 +48,6 @@
     private boolean out;
     private long nextPollNanos;
     private long speedNanos;
-    private boolean startCheckScheduled;
     private boolean slowPollScheduled;
     private boolean queueTickScheduled;
     private Runnable speedListener = () -> {};
@@ -175,22 +174,6 @@
         startWaiting();
     }
 
-    private void checkSpeedAfterStart() {
-        if (!target.tellsSpeed() || startCheckScheduled) {
-            return;
-        }
-        startCheckScheduled = true;
-        world.events()
-                .after(
-                        FRESH_NANOS,
-                        () -> {
-                            startCheckScheduled = false;
-                            if (admission.inFlight() > 0) {
-                                askForOldSpeed(0);
-                            }
-                        });
-    }
-
     private void scheduleQueueTick() {
         if (target.tellsSpeed() && !queueTickScheduled) {
             queueTickScheduled = true;
@@ -214,7 +197,6 @@
         running.put(
                 attemptId,
                 target.start(call.demandNanos, () -> finish(call, attemptId, startNanos)));
-        checkSpeedAfterStart();
     }
 
     private void finish(Waiting call, AttemptId attemptId, long startNanos) {
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -304,7 +304,6 @@
                                 remainingMillis,
                                 result -> onResult(call, result));
         call.onStarted(exchange);
-        speeds.onStarted();
     }
 
     private StartConditions startConditions(long nowNanos) {
--- a/node/src/main/java/org/dogwoodwood/node/guard/SpeedWatch.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/SpeedWatch.java
@@ -13,18 +13,16 @@
  *
  * <p>Neighbours on the VM slow a target for up to a second or more, and work that starts in such a
  * phase stays slow. So a call whose target has not told its speed for a time waits for the answer
- * to one poll, the end of a phase is noticed at once, and so is a phase that began before a start.
+ * to one poll, and the end of a phase is noticed soon.
  */
 final class SpeedWatch {
 
-    private static final long NANOS_PER_MILLI = 1_000_000L;
-
     // A small part of a slow phase, so that few calls start in a phase that nobody noticed.
     private static final long FRESH_NANOS = 30_000_000L;
     private static final long HELD_NANOS = 20_000_000L;
 
     // Peers avoid a target that told them of a slow phase until they hear of its end.
-    private static final int SLOW_POLL_MILLIS = 40;
+    private static final int SLOW_POLL_MILLIS = 80;
     private static final int STILL_SLOW_POLL_MILLIS = 200;
 
     private final Vertx vertx;
@@ -33,7 +31,6 @@
     private final Set<GuardedCall> delayed = new LinkedHashSet<>();
     private long delayedSinceNanos;
     private boolean slowPollScheduled;
-    private boolean startCheckScheduled;
 
     SpeedWatch(Vertx vertx, TargetMonitor monitor, Supplier<AdmissionController> admission) {
         this.vertx = vertx;
@@ -97,22 +94,6 @@
                 });
     }
 
-    /** Takes in that a call has started; finds out soon whether a slow phase had begun before. */
-    void onStarted() {
-        if (startCheckScheduled) {
-            return;
-        }
-        startCheckScheduled = true;
-        vertx.setTimer(
-                FRESH_NANOS / NANOS_PER_MILLI,
-                ignored -> {
-                    startCheckScheduled = false;
-                    if (admission.get().inFlight() > 0) {
-                        pollIfOld(System.nanoTime());
-                    }
-                });
-    }
-
     private void pollIfOld(long nowNanos) {
         if (monitor.isSpeedOlderThan(HELD_NANOS, nowNanos)) {
             monitor.ask();
