Report loads in a class of their own, and try no call above the cold-start ramp

A call that is started above the crowding limit to learn what it costs must not exceed a lower bound of the cold-start ramp, found by reading.

--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -252,7 +252,8 @@
 
     /** A cold target and one that does not tell its speed are not comparable at full load. */
     private boolean mayTryAboveLimit() {
-        return speed.isTold() && !capacity.cold() && crowding.tryAbove(inFlight());
+        boolean atLimit = inFlight() == limit();
+        return atLimit && speed.isTold() && !capacity.cold() && crowding.tryAbove(inFlight());
     }
 
     /** Returns the calls in flight up to which calls that could run elsewhere are started. */
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -55,6 +55,7 @@
     private final TargetMonitor monitor;
     private final SpeedWatch speeds;
     private final WaitingCalls waiting;
+    private final LoadReporter reports;
     private final SuspectRequests suspects = new SuspectRequests();
     private final NodeMetrics metrics;
     private final AttemptLog attempts;
@@ -64,7 +65,6 @@
     private Consumer<LoadReport> reportListener = report -> {};
     private boolean leaving;
     private boolean dataCentreOut;
-    private long reportSequence;
 
     private Guard(
             Vertx vertx,
@@ -89,6 +89,7 @@
                 new TargetMonitor(
                         vertx, protocol, services::healthPath, budget, log, new TargetListener());
         this.speeds = new SpeedWatch(vertx, monitor, admission::get);
+        this.reports = new LoadReporter(identity, monitor, admission);
         this.waiting =
                 new WaitingCalls(
                         vertx, admission, speeds, this::startRefusal, new WaitingListener());
@@ -225,25 +226,7 @@
 
     @Override
     public Optional<LoadReport> report() {
-        if (monitor.announcement().isEmpty()) {
-            return Optional.empty();
-        }
-        AdmissionController current = admission.get();
-        long nowNanos = System.nanoTime();
-        reportSequence++;
-        return Optional.of(
-                new LoadReport(
-                        identity.node(),
-                        identity.incarnation(),
-                        reportSequence,
-                        current.inFlight(),
-                        current.queued(),
-                        current.limit(),
-                        monitor.slots(),
-                        current.serviceTimeNanos(nowNanos) / 1_000,
-                        current.errorRatio(),
-                        state(),
-                        current.slowdown(nowNanos)));
+        return reports.next(state(), System.nanoTime());
     }
 
     private void take(CallFrame frame, Consumer<AttemptAnswer> listener, long nowNanos) {
