--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedGuard.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedGuard.java
@@ -28,9 +28,6 @@
     private static final long TICK_NANOS = 20_000_000;
     private static final long QUEUE_TICK_NANOS = 5_000_000;
     private static final long RECENT_NANOS = 500_000_000;
-    private static final long FRESH_NANOS = 30_000_000;
-    private static final long SLOW_POLL_NANOS = 80_000_000;
-    private static final long STILL_SLOW_POLL_NANOS = 200_000_000;
     private static final long POLL_INTERVAL_NANOS = 250_000_000;
     private static final long NANOS_PER_MICRO = 1_000;
 
@@ -42,15 +39,13 @@
     private final Map<AttemptId, Waiting> waiting = new HashMap<>();
     private final Map<AttemptId, SimulatedTarget.Run> running = new HashMap<>();
     private final Map<Integer, Long> lastCallByIngress = new TreeMap<>();
+    private final SimulatedSpeedWatch speeds;
     private AdmissionController admission;
     private long incarnation = 1;
     private long sequence;
     private boolean out;
     private long nextPollNanos;
-    private long speedNanos;
-    private boolean slowPollScheduled;
     private boolean queueTickScheduled;
-    private Runnable speedListener = () -> {};
 
     SimulatedGuard(World world, NodeId id, SimulatedTarget target, PolicyDefinition policy) {
         this.world = world;
@@ -58,6 +53,7 @@
         this.target = target;
         this.policy = policy;
         this.admission = newAdmission(false);
+        this.speeds = new SimulatedSpeedWatch(world, target, () -> admission, this::startWaiting);
         world.events().after(TICK_NANOS, this::tick);
     }
 
@@ -75,7 +71,7 @@
             onAnswer.accept(new Answer(Optional.of(ErrorCode.DATA_CENTRE_OUT), report()));
             return;
         }
-        askForOldSpeed(FRESH_NANOS);
+        speeds.askUnlessFresh();
         Waiting arrived = new Waiting(call, demandNanos, onAnswer);
         AdmissionDecision decision = admission.offer(call, now());
         switch (decision.kind()) {
@@ -138,40 +134,7 @@
 
     /** Sets who is told when the target has become slow or has recovered. */
     void setSpeedListener(Runnable listener) {
-        speedListener = listener;
-    }
-
-    /** Polls a target that tells its speed, if that was longer ago; the poll takes no time. */
-    private void askForOldSpeed(long ageNanos) {
-        if (target.tellsSpeed() && now() - speedNanos > ageNanos) {
-            world.measurements().onPoll(now());
-            onSpeed();
-        }
-    }
-
-    private void onSpeed() {
-        if (!target.tellsSpeed()) {
-            return;
-        }
-        boolean wasHolding = admission.isHolding(now());
-        boolean wasSlow = admission.slowdown(now()) > 1;
-        double told = target.toldSlowdown();
-        admission.onSlowdown(told, now());
-        speedNanos = now();
-        if (wasSlow != told > 1) {
-            speedListener.run();
-        }
-        if (told > 1 && !slowPollScheduled) {
-            slowPollScheduled = true;
-            boolean holding = wasHolding || admission.isHolding(now());
-            world.events().after(holding ? SLOW_POLL_NANOS : STILL_SLOW_POLL_NANOS, this::slowPoll);
-        }
-    }
-
-    private void slowPoll() {
-        slowPollScheduled = false;
-        askForOldSpeed(0);
-        startWaiting();
+        speeds.setChangeListener(listener);
     }
 
     private void scheduleQueueTick() {
@@ -203,7 +166,7 @@
         running.remove(attemptId);
         long now = now();
         admission.onEnded(attemptId.call, attemptId.attempt, now - startNanos, false, now);
-        onSpeed();
+        speeds.onTold();
         startWaiting();
         call.onAnswer.accept(new Answer(Optional.empty(), report()));
     }
