--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -46,7 +46,7 @@
     private final ToldSpeed speed = new ToldSpeed();
     private final CrowdingLimit crowding = CrowdingLimit.create();
     private ColdRate coldRate;
-    private final Map<AttemptKey, Start> inFlight = new HashMap<>();
+    private final Map<AttemptKey, Start> startByAttempt = new HashMap<>();
     private final Map<String, Integer> inFlightByClass = new HashMap<>();
     private final List<CallDescription> expired = new ArrayList<>();
     private TargetCapacity capacity;
@@ -200,7 +200,7 @@
 
     @Override
     public int inFlight() {
-        return inFlight.size();
+        return startByAttempt.size();
     }
 
     @Override
@@ -318,7 +318,7 @@
         speed.onStarted(nowNanos);
         crowding.onStarted();
         Start start = new Start(call.callClass(), inFlight() + 1, isUsual(nowNanos));
-        inFlight.put(new AttemptKey(call.id(), call.attempt()), start);
+        startByAttempt.put(new AttemptKey(call.id(), call.attempt()), start);
         inFlightByClass.merge(call.callClass(), 1, Integer::sum);
     }
 
@@ -329,7 +329,8 @@
 
     private Optional<Start> remove(CallId id, int attempt, long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
-        Optional<Start> start = Optional.ofNullable(inFlight.remove(new AttemptKey(id, attempt)));
+        Optional<Start> start =
+                Optional.ofNullable(startByAttempt.remove(new AttemptKey(id, attempt)));
         start.ifPresent(ended -> inFlightByClass.merge(ended.callClass, -1, Integer::sum));
         return start;
     }
