--- a/node/src/test/java/org/dogwoodwood/node/control/KeyedCallTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/KeyedCallTests.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.dogwoodwood.codec.configuration.ConfigurationJsonCodec;
 import org.dogwoodwood.codec.log.ConfigurationRecord;
@@ -20,13 +19,8 @@
 import org.dogwoodwood.core.configuration.DataCentreDefinition;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.configuration.ServiceDefinition;
-import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.node.Node;
-import org.dogwoodwood.node.NodeParts;
-import org.dogwoodwood.node.logging.EventLog;
-import org.dogwoodwood.node.settings.Budgets;
 import org.dogwoodwood.node.settings.Endpoint;
-import org.dogwoodwood.node.settings.NodeSettings;
 import org.dogwoodwood.node.settings.TargetSettings;
 import org.dogwoodwood.node.support.TestTarget;
 import org.dogwoodwood.standins.log.StandinLog;
@@ -194,29 +188,15 @@
 
     private void start(String name, String dataCentre, List<Endpoint> seeds) {
         TestTarget target = TestTarget.start(vertx);
-        NodeSettings settings =
-                new NodeSettings(
-                        NodeId.of(name),
-                        dataCentre,
-                        Endpoint.of("127.0.0.1", 0),
-                        Optional.empty(),
-                        Endpoint.of("127.0.0.1", 0),
-                        Endpoint.of("127.0.0.1", 0),
-                        Optional.of(
-                                new TargetSettings(
-                                        ControlCluster.SERVICE, target.address(), 18, 240, 2)),
-                        Optional.of(Endpoint.of("127.0.0.1", log.port())),
-                        seeds,
-                        Optional.empty(),
-                        new Budgets(20, 0.01, 400, 5));
         Node node =
-                Node.create(
+                ControlNode.start(
                         vertx,
-                        settings,
+                        name,
+                        dataCentre,
                         System.currentTimeMillis(),
-                        NodeParts.of(DefaultControlPlane::from),
-                        EventLog.create());
-        ControlCluster.await(node.start());
+                        new TargetSettings(ControlCluster.SERVICE, target.address(), 18, 240, 2),
+                        log.port(),
+                        seeds);
         nodes.add(node);
         targets.add(target);
     }
--- a/node/src/test/java/org/dogwoodwood/node/control/NodeControlTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/NodeControlTests.java
@@ -10,15 +10,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.node.Node;
-import org.dogwoodwood.node.NodeParts;
-import org.dogwoodwood.node.logging.EventLog;
-import org.dogwoodwood.node.settings.Budgets;
 import org.dogwoodwood.node.settings.Endpoint;
-import org.dogwoodwood.node.settings.NodeSettings;
 import org.dogwoodwood.node.settings.TargetSettings;
 import org.dogwoodwood.node.support.TestTarget;
 import org.dogwoodwood.standins.log.StandinLog;
@@ -70,30 +64,14 @@
 
     private Node start(String name, String dataCentre, int logPort, List<Endpoint> seeds) {
         TestTarget target = TestTarget.start(vertx);
-        NodeSettings settings =
-                new NodeSettings(
-                        NodeId.of(name),
-                        dataCentre,
-                        Endpoint.of("127.0.0.1", 0),
-                        Optional.empty(),
-                        Endpoint.of("127.0.0.1", 0),
-                        Endpoint.of("127.0.0.1", 0),
-                        Optional.of(
-                                new TargetSettings(
-                                        ControlCluster.SERVICE, target.address(), 6, 40, 2)),
-                        Optional.of(Endpoint.of("127.0.0.1", logPort)),
-                        seeds,
-                        Optional.empty(),
-                        new Budgets(20, 0.01, 400, 5));
-        Node node =
-                Node.create(
-                        vertx,
-                        settings,
-                        1,
-                        NodeParts.of(DefaultControlPlane::from),
-                        EventLog.create());
-        ControlCluster.await(node.start());
-        return node;
+        return ControlNode.start(
+                vertx,
+                name,
+                dataCentre,
+                1,
+                new TargetSettings(ControlCluster.SERVICE, target.address(), 6, 40, 2),
+                logPort,
+                seeds);
     }
 
     private int count(Node node, String state) {
