Keep a defined order in collections that decisions and messages are built from

Change: OrderedCopies keeps the order of the original; evidence of crashes keeps its order of arrival.

--- a/core/src/main/java/org/dogwoodwood/core/admission/DeadlineQueue.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DeadlineQueue.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.model.CallDescription;
 import org.dogwoodwood.core.model.CallId;
@@ -29,12 +30,12 @@
     private double virtualTime;
 
     DeadlineQueue(Map<String, CallClassDefinition> definitions) {
-        this.definitions = Map.copyOf(definitions);
+        this.definitions = OrderedCopies.copyOf(definitions);
     }
 
     /** Applies new class definitions; queued calls keep their order within their class. */
     void setDefinitions(Map<String, CallClassDefinition> newDefinitions) {
-        definitions = Map.copyOf(newDefinitions);
+        definitions = OrderedCopies.copyOf(newDefinitions);
         queues.forEach((name, queue) -> queue.weight = weightOf(name));
     }
 
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.model.CallDescription;
@@ -61,7 +62,7 @@
             TargetCapacity capacity,
             long nowNanos) {
         this.queueLimitNanos = policy.queueLimitMillis() * NANOS_PER_MILLI;
-        this.callClasses = Map.copyOf(callClasses);
+        this.callClasses = OrderedCopies.copyOf(callClasses);
         this.queue = new DeadlineQueue(callClasses);
         this.estimate = new ServiceTimeEstimate(INITIAL_SERVICE_TIME_NANOS, nowNanos);
         this.ramp = new ColdStartRamp(capacity);
@@ -197,7 +198,7 @@
     public void onConfiguration(
             PolicyDefinition policy, Map<String, CallClassDefinition> newClasses, long nowNanos) {
         queueLimitNanos = policy.queueLimitMillis() * NANOS_PER_MILLI;
-        callClasses = Map.copyOf(newClasses);
+        callClasses = OrderedCopies.copyOf(newClasses);
         queue.setDefinitions(newClasses);
         if (policy.coldCallsPerSecond() != coldRateLimit.callsPerSecond()) {
             coldRateLimit = new ColdStartRateLimit(policy.coldCallsPerSecond(), nowNanos);
--- a/core/src/main/java/org/dogwoodwood/core/configuration/Configuration.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/Configuration.java
@@ -1,6 +1,7 @@
 package org.dogwoodwood.core.configuration;
 
 import java.util.Map;
+import org.dogwoodwood.core.OrderedCopies;
 
 /**
  * The complete set of named objects that operators publish, which are checked together.
@@ -22,11 +23,11 @@
 
     /** Copies the maps. */
     public Configuration {
-        services = Map.copyOf(services);
-        dataCentres = Map.copyOf(dataCentres);
-        callClasses = Map.copyOf(callClasses);
-        policies = Map.copyOf(policies);
-        routes = Map.copyOf(routes);
+        services = OrderedCopies.copyOf(services);
+        dataCentres = OrderedCopies.copyOf(dataCentres);
+        callClasses = OrderedCopies.copyOf(callClasses);
+        policies = OrderedCopies.copyOf(policies);
+        routes = OrderedCopies.copyOf(routes);
     }
 
     /** Creates a configuration without routes. */
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ServiceDefinition.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ServiceDefinition.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.dogwoodwood.core.OrderedCopies;
 
 /**
  * A service that callers can call.
@@ -48,7 +49,7 @@
         hosts = List.copyOf(hosts);
         dataCentres = List.copyOf(dataCentres);
         callClasses = List.copyOf(callClasses);
-        idempotentMethods = Set.copyOf(idempotentMethods);
+        idempotentMethods = OrderedCopies.copyOf(idempotentMethods);
     }
 
     /** Creates a service with the default health path. */
--- a/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
@@ -4,11 +4,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.model.CallDescription;
@@ -148,7 +151,10 @@
     public Set<Long> fingerprints(CrashStatus status, long nowNanos) {
         return evidenceByFingerprint.keySet().stream()
                 .filter(fingerprint -> status(fingerprint, nowNanos) == status)
-                .collect(Collectors.toUnmodifiableSet());
+                .collect(
+                        Collectors.collectingAndThen(
+                                Collectors.toCollection(TreeSet::new),
+                                Collections::unmodifiableSet));
     }
 
     /** Returns all unexpired evidence, for other nodes to merge. */
@@ -209,7 +215,7 @@
 
     private void addEvidence(long fingerprint, Evidence what, long atNanos) {
         Map<Evidence, Long> evidence =
-                evidenceByFingerprint.computeIfAbsent(fingerprint, any -> new HashMap<>());
+                evidenceByFingerprint.computeIfAbsent(fingerprint, any -> new LinkedHashMap<>());
         // Transit time makes each received copy appear younger than it is, so the oldest time is
         // the most accurate.
         evidence.merge(what, atNanos, Math::min);
--- a/core/src/main/java/org/dogwoodwood/core/idempotency/KeyHandover.java
+++ b/core/src/main/java/org/dogwoodwood/core/idempotency/KeyHandover.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.idempotency.MemberView.RegisteredMember;
 
 /**
@@ -29,6 +30,6 @@
         Objects.requireNonNull(sender, "sender");
         Objects.requireNonNull(recipient, "recipient");
         entries = List.copyOf(entries);
-        unsettled = Set.copyOf(unsettled);
+        unsettled = OrderedCopies.copyOf(unsettled);
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/idempotency/MemberView.java
+++ b/core/src/main/java/org/dogwoodwood/core/idempotency/MemberView.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.RendezvousHash;
 
@@ -31,8 +32,8 @@
     /** Copies the collections. */
     public MemberView {
         checkArgument(offset >= 0, "An offset must not be negative.");
-        incarnations = Map.copyOf(incarnations);
-        ended = Set.copyOf(ended);
+        incarnations = OrderedCopies.copyOf(incarnations);
+        ended = OrderedCopies.copyOf(ended);
     }
 
     /** Returns the member that owns a key, or empty if there are no members. */
--- a/core/src/main/java/org/dogwoodwood/core/idempotency/ReceivedHandovers.java
+++ b/core/src/main/java/org/dogwoodwood/core/idempotency/ReceivedHandovers.java
@@ -7,6 +7,7 @@
 import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
+import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.idempotency.MemberView.RegisteredMember;
 
 /** The handovers that a node has received, by sender and offset of the sender's view. */
@@ -18,7 +19,7 @@
     /** Records a handover with the processes that may have run calls unknown to the sender. */
     void add(RegisteredMember sender, long viewOffset, Set<RegisteredMember> unsettled) {
         bySender.computeIfAbsent(sender, any -> new TreeMap<>())
-                .put(viewOffset, Set.copyOf(unsettled));
+                .put(viewOffset, OrderedCopies.copyOf(unsettled));
     }
 
     /** Returns the offset of the newest handover of a sender, or -1 if there is none. */
--- a/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
+++ b/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.configuration.Configuration;
 
 /**
@@ -34,9 +35,9 @@
     /** Checks that the configuration is not null and copies the collections. */
     public RoutingTable {
         Objects.requireNonNull(configuration, "configuration");
-        targetsByService = Map.copyOf(targetsByService);
-        blockedFingerprints = Set.copyOf(blockedFingerprints);
-        suspectFingerprints = Set.copyOf(suspectFingerprints);
+        targetsByService = OrderedCopies.copyOf(targetsByService);
+        blockedFingerprints = OrderedCopies.copyOf(blockedFingerprints);
+        suspectFingerprints = OrderedCopies.copyOf(suspectFingerprints);
     }
 
     /** Creates a table without suspect requests. */
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedIngress.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedIngress.java
@@ -1,7 +1,6 @@
 package org.dogwoodwood.faults.simulation;
 
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -63,7 +62,7 @@
     private final RetryBudget retryBudget;
     private final RetryStrategy retries;
     private final Map<AttemptId, Attempt> attempts = new LinkedHashMap<>();
-    private final Map<NodeId, Long> lastActivityNanos = new HashMap<>();
+    private final Map<NodeId, Long> lastActivityNanos = new LinkedHashMap<>();
     private long callSequence;
     private int openCalls;
 
@@ -328,7 +327,7 @@
     }
 
     private void ping() {
-        for (NodeId guard : Set.copyOf(lastActivityNanos.keySet())) {
+        for (NodeId guard : List.copyOf(lastActivityNanos.keySet())) {
             if (attemptsAt(guard).isEmpty() || guard.equals(node.id())) {
                 lastActivityNanos.remove(guard);
             } else if (loop.now() - lastActivityNanos.get(guard) > SILENCE_LIMIT_NANOS) {
