Hand keys over to members that join while their owner leaves

It handed over to the members of view 13 only, and b2, owner of the key for view 13, told b1 that a2 was settled, since a2 had handed over to b2 under view 15; but under that view the key was already b1's, so b2 never had it. b1 then ran the key a second time. Change: a leaving member with a handover under way also hands over to members that join; a handover settles its sender only if no member had joined between the view and the handover.

--- a/core/src/main/java/org/dogwoodwood/core/idempotency/KeyOwnership.java
+++ b/core/src/main/java/org/dogwoodwood/core/idempotency/KeyOwnership.java
@@ -301,7 +301,7 @@
     /** Returns the processes that may have run calls with a key unknown to this node. */
     public Set<RegisteredMember> unsettled(long nowNanos) {
         update(nowNanos);
-        boolean lostOwner = former.stream().anyMatch(this::hasLostOwner);
+        boolean lostOwner = hasLostOwner();
         Set<RegisteredMember> unknownToOthers = handovers.unsettled();
         Set<RegisteredMember> result = new HashSet<>();
         MemberView next = current;
@@ -318,7 +318,7 @@
                                     lostOwner
                                             || unknownToOthers.contains(member)
                                             || (canLoseKeys(member, view.view(), replacement)
-                                                    && !hasHandedOver(member, view)))
+                                                    && !hasHandedOver(member, view, replacement)))
                     .forEach(result::add);
             next = view.view();
         }
@@ -366,8 +366,9 @@
     private void updateRecipients(MemberView next) {
         boolean leaves = !next.contains(self);
         boolean wasMember = current != null && current.contains(self);
+        boolean handsOver = !handoverRecipients.isEmpty();
         handoverRecipients.values().removeIf(member -> !next.contains(member));
-        if (!wasMember) {
+        if (!wasMember && !handsOver) {
             return;
         }
         next.incarnations()
@@ -400,20 +401,50 @@
     }
 
     /**
-     * Returns whether a member of the view has been lost without a handover, so that this node may
-     * own keys whose calls it does not know of.
+     * Returns whether a member of a former view has been lost without a handover, so that this node
+     * may own keys whose calls it does not know of.
      */
-    private boolean hasLostOwner(FormerView view) {
+    private boolean hasLostOwner() {
+        MemberView replacement = current;
+        for (FormerView view : former) {
+            if (hasLostOwner(view, replacement)) {
+                return true;
+            }
+            replacement = view.view();
+        }
+        return false;
+    }
+
+    private boolean hasLostOwner(FormerView view, MemberView replacement) {
         return members(view.view())
                 .anyMatch(
                         member ->
                                 !member.equals(self)
                                         && !current.contains(member)
-                                        && !hasHandedOver(member, view));
+                                        && !hasHandedOver(member, view, replacement));
     }
 
-    private boolean hasHandedOver(RegisteredMember member, FormerView view) {
-        return handovers.hasHandoverSince(member, view.replacementOffset());
+    /**
+     * Returns whether a member of a former view has handed over all keys that this node owned after
+     * the view was replaced. A handover under a later view leaves out the keys of members that had
+     * joined until then.
+     */
+    private boolean hasHandedOver(RegisteredMember member, FormerView view, MemberView next) {
+        return handovers.handoversSince(member, view.replacementOffset()).keySet().stream()
+                .anyMatch(offset -> hasNoJoinersUntil(offset, next));
+    }
+
+    private boolean hasNoJoinersUntil(long offset, MemberView since) {
+        if (offset > current.offset()) {
+            return false;
+        }
+        return viewAt(offset)
+                .filter(
+                        view ->
+                                since.incarnations()
+                                        .keySet()
+                                        .containsAll(view.incarnations().keySet()))
+                .isPresent();
     }
 
     private boolean isConfirmedByMajority(long nowNanos) {
--- a/core/src/test/java/org/dogwoodwood/core/idempotency/KeyOwnershipTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/idempotency/KeyOwnershipTests.java
@@ -248,4 +248,27 @@
         a.read(acd, 4);
         assertThat(a.ownership.unsettled(5)).doesNotContain(b.member);
     }
+
+    /**
+     * Guards against a member that joins between the leave of an owner and its handover, and that
+     * then runs keys of the owner again; found by the fault matrix.
+     */
+    @Test
+    void aLeavingOwnerHandsOverToMembersThatJoinBeforeItIsDone() {
+        a.read(abc, 0);
+        a.read(bc, 1);
+        a.read(view(5, b.member, c.member, d.member), 1);
+        assertThat(a.ownership.handoverRecipients(2))
+                .containsExactlyInAnyOrder(b.member, c.member, d.member);
+    }
+
+    @Test
+    void aHandoverUnderALaterViewDoesNotSettleKeysThatHaveMovedOnSince() {
+        MemberView bcd = view(5, b.member, c.member, d.member);
+        b.read(abc, 0);
+        b.read(bc, 1);
+        b.read(bcd, 1);
+        b.ownership.onHandover(a.member, 5, Set.of(), 2);
+        assertThat(b.ownership.unsettled(3)).contains(a.member);
+    }
 }
