--- a/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
@@ -21,8 +21,6 @@
 
     static final int LOCAL_VIEW_SIZE = 8;
     static final int REMOTE_VIEW_SIZE = 4;
-    static final int LOCAL_PEERS_PER_ROUND = 2;
-    static final int REMOTE_PEERS_PER_ROUND = 1;
     private static final int VIEW_ROTATION_ROUNDS = 20;
     private static final int DEAD_PROBE_ROUNDS = 8;
     private static final int MAX_CRASH_REPORTS = 1_000;
@@ -102,12 +100,16 @@
         configurationHash = hash;
     }
 
+    /** Starts a full round and returns the members to exchange gossip with. */
+    public List<Member> selectPeers() {
+        return selectPeers(GossipRound.FULL);
+    }
+
     /**
-     * Starts a round and returns the members to exchange gossip with: two in the same data centre
-     * and one in another, and every eighth round also one dead member, to detect a healed
-     * partition.
+     * Starts a round and returns the members to exchange gossip with: those that the round contacts
+     * and, every eighth round, also one dead member, to detect a healed partition.
      */
-    public List<Member> selectPeers() {
+    public List<Member> selectPeers(GossipRound kind) {
         refreshIndex();
         round++;
         if (round % VIEW_ROTATION_ROUNDS == 0) {
@@ -116,9 +118,9 @@
         }
         localView.refresh(localNodes, this::isPresent, random);
         remoteView.refresh(remoteNodes, this::isPresent, random);
-        List<NodeId> chosen = new ArrayList<>(localView.next(LOCAL_PEERS_PER_ROUND));
+        List<NodeId> chosen = new ArrayList<>(localView.next(kind.localPeers()));
         // Without enough peers in its own data centre, a node selects more in others.
-        int remoteCount = LOCAL_PEERS_PER_ROUND + REMOTE_PEERS_PER_ROUND - chosen.size();
+        int remoteCount = kind.localPeers() + kind.remotePeers() - chosen.size();
         chosen.addAll(remoteView.next(remoteCount));
         if (round % DEAD_PROBE_ROUNDS == 0 && !deadNodes.isEmpty()) {
             chosen.add(deadNodes.get(random.nextInt(deadNodes.size())));
@@ -196,6 +198,11 @@
         message.crashReports().forEach(report -> onCrashReport(report, nowNanos));
     }
 
+    /** Returns whether updates wait to be spread. */
+    public boolean hasUpdates() {
+        return memberQueue.size() + orderQueue.size() + crashQueue.size() > 0;
+    }
+
     /** Returns whether data centre orders are queued, which justify an early round. */
     public boolean hasUrgentUpdates() {
         return orderQueue.size() > 0;
--- a/core/src/main/java/org/dogwoodwood/core/membership/MembershipTable.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/MembershipTable.java
@@ -178,6 +178,13 @@
         due.forEach(entry -> expire(entry, nowNanos));
     }
 
+    /**
+     * Returns when the exchange was sent that last renewed the lease of this node, in nanoseconds.
+     */
+    public long lastAcknowledgedNanos() {
+        return lastAcknowledgedNanos;
+    }
+
     /**
      * Returns the time until which this node may start calls, in nanoseconds. It is {@link
      * Long#MAX_VALUE} if the node has no peers or has been isolated from all of them for the
--- a/core/src/test/java/org/dogwoodwood/core/membership/DisseminationTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/membership/DisseminationTests.java
@@ -102,9 +102,8 @@
                     .refresh(byDataCentre.get(dataCentre), id -> !id.equals(self), random);
             remoteViews.get(node).refresh(inOtherDataCentres.get(dataCentre), id -> true, random);
             List<NodeId> chosen =
-                    new ArrayList<>(
-                            localViews.get(node).next(GossipStrategy.LOCAL_PEERS_PER_ROUND));
-            chosen.addAll(remoteViews.get(node).next(GossipStrategy.REMOTE_PEERS_PER_ROUND));
+                    new ArrayList<>(localViews.get(node).next(GossipRound.FULL.localPeers()));
+            chosen.addAll(remoteViews.get(node).next(GossipRound.FULL.remotePeers()));
             return chosen;
         }
 
--- a/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
+++ b/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
@@ -13,8 +13,8 @@
 /** Runs a node as the only one of its process and stops it gracefully when the process ends. */
 public final class NodeProcess {
 
-    // One event loop for traffic and one for the control plane.
-    private static final int EVENT_LOOP_THREADS = 2;
+    // One event loop for traffic and one for the control plane, if both can run at a time.
+    private static final int MAX_EVENT_LOOP_THREADS = 2;
     private static final int WORKER_THREADS = 2;
     private static final int START_SECONDS = 30;
     private static final int STOP_MARGIN_SECONDS = 5;
@@ -31,12 +31,16 @@
                         .setClassPathResolvingEnabled(false);
         return Vertx.vertx(
                 new VertxOptions()
-                        .setEventLoopPoolSize(EVENT_LOOP_THREADS)
+                        .setEventLoopPoolSize(eventLoopThreads())
                         .setWorkerPoolSize(WORKER_THREADS)
                         .setInternalBlockingPoolSize(WORKER_THREADS)
                         .setFileSystemOptions(files));
     }
 
+    private static int eventLoopThreads() {
+        return Math.min(MAX_EVENT_LOOP_THREADS, Runtime.getRuntime().availableProcessors());
+    }
+
     /**
      * Starts a node and registers a shutdown hook, so that SIGTERM stops it gracefully.
      *
--- a/node/src/main/java/org/dogwoodwood/node/control/GossipExchanger.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/GossipExchanger.java
@@ -12,6 +12,8 @@
 import org.dogwoodwood.codec.gossip.IndirectPing;
 import org.dogwoodwood.codec.wire.ControlFrame;
 import org.dogwoodwood.core.membership.GossipMessage;
+import org.dogwoodwood.core.membership.GossipPace;
+import org.dogwoodwood.core.membership.GossipRound;
 import org.dogwoodwood.core.membership.GossipStrategy;
 import org.dogwoodwood.core.membership.Liveness;
 import org.dogwoodwood.core.membership.Member;
@@ -29,8 +31,8 @@
     private static final long MAX_EXTRA_ROUND_DELAY_MILLIS = 50;
 
     // Peers reject or lose calls from a restarted node until they have its new incarnation.
-    private static final int STARTUP_ROUNDS = 20;
-    private static final int STARTUP_ROUND_INTERVAL_MILLIS = 100;
+    private static final int STARTUP_ROUNDS = 8;
+    private static final int STARTUP_ROUND_INTERVAL_MILLIS = 200;
 
     private final Vertx vertx;
     private final PeerTransport transport;
@@ -39,6 +41,7 @@
     private final GossipStrategy strategy;
     private final RandomGenerator random;
     private final Listener listener;
+    private final GossipPace pace = GossipPace.create(System.nanoTime());
     private final Set<NodeId> probing = new HashSet<>();
     private long timer = -1;
     private long roundCount;
@@ -103,11 +106,15 @@
      * @return a future that completes when the first contact has replied, and fails if none does
      */
     Future<Void> exchangeWithContacts() {
+        return exchangeWithContacts(GossipRound.FULL);
+    }
+
+    private Future<Void> exchangeWithContacts(GossipRound round) {
         if (stopped) {
             return Future.succeededFuture();
         }
         List<Future<Void>> exchanges =
-                strategy.selectPeers().stream().map(this::exchangeWith).toList();
+                strategy.selectPeers(round).stream().map(this::exchangeWith).toList();
         return exchanges.isEmpty() ? Future.succeededFuture() : Future.any(exchanges).mapEmpty();
     }
 
@@ -140,10 +147,11 @@
     }
 
     private void runRound() {
-        table.tick(System.nanoTime());
+        long now = System.nanoTime();
+        table.tick(now);
         listener.onRound();
         roundCount++;
-        exchangeWithContacts();
+        exchangeWithContacts(pace.next(strategy.hasUpdates(), table.lastAcknowledgedNanos(), now));
         // Exchanges with seeds rediscover members that were dropped during a long partition.
         boolean seedDue = !table.hasPeers() || roundCount % ROUNDS_PER_SEED_EXCHANGE == 0;
         if (seedDue && !settings.seeds().isEmpty() && !stopped) {
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
@@ -53,6 +53,8 @@
     private int missedPings;
     private int ticksSincePing;
     private boolean pingPending;
+    private boolean sentSincePing;
+    private boolean receivedSinceSent;
 
     PeerLink(
             Vertx vertx,
@@ -81,6 +83,7 @@
     }
 
     void send(Frame frame) {
+        sentSincePing = true;
         connection.send(frame);
     }
 
@@ -172,7 +175,7 @@
         if (!isReady()) {
             return;
         }
-        ticksSincePing = 0;
+        startPingInterval();
         pingPending = true;
         pingSequence++;
         pingSentNanos = System.nanoTime();
@@ -189,6 +192,7 @@
         if (received) {
             missedPings = 0;
             pingPending = false;
+            receivedSinceSent = sentSincePing;
         } else if (pingPending) {
             // Each tick counts at most one missed ping, so that a pause of this process does not
             // close connections whose pongs wait in the socket.
@@ -200,12 +204,23 @@
             return;
         }
         boolean due = ticksSincePing >= timings.idlePingInterval();
+        if (due && receivedSinceSent) {
+            // Frames have passed in both directions, so that the peer, too, sees a live connection.
+            startPingInterval();
+            due = false;
+        }
         // No extra ping if bytes have arrived, since they show that the connection works.
         if (due || pingPending || (owner.isBusy() && !received)) {
             ping();
         }
     }
 
+    private void startPingInterval() {
+        ticksSincePing = 0;
+        sentSincePing = false;
+        receivedSinceSent = false;
+    }
+
     private void onPong(PongFrame pong) {
         if (pong.sequence() == pingSequence) {
             owner.onPong(System.nanoTime() - pingSentNanos, pong.report());
