--- a/core/src/main/java/org/dogwoodwood/core/idempotency/FormerView.java
+++ b/core/src/main/java/org/dogwoodwood/core/idempotency/FormerView.java
@@ -1,6 +1,8 @@
 package org.dogwoodwood.core.idempotency;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.dogwoodwood.core.idempotency.MemberView.RegisteredMember;
 
@@ -20,6 +22,21 @@
         this.replacedAtNanos = replacedAtNanos;
     }
 
+    /**
+     * Returns the view that was in force at an offset, or empty if it is no longer known.
+     *
+     * @param former the former views, newest first
+     */
+    static Optional<MemberView> viewAt(long offset, MemberView current, List<FormerView> former) {
+        if (current.offset() <= offset) {
+            return Optional.of(current);
+        }
+        return former.stream()
+                .map(FormerView::view)
+                .filter(view -> view.offset() <= offset)
+                .findFirst();
+    }
+
     MemberView view() {
         return view;
     }
--- a/core/src/main/java/org/dogwoodwood/core/idempotency/KeyOwnership.java
+++ b/core/src/main/java/org/dogwoodwood/core/idempotency/KeyOwnership.java
@@ -3,7 +3,6 @@
 import static org.dogwoodwood.core.Preconditions.checkArgument;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,7 +12,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Stream;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.idempotency.MemberView.RegisteredMember;
 import org.dogwoodwood.core.model.NodeId;
@@ -245,7 +243,7 @@
                 handovers.handoversSince(sender, view.replacementOffset()).entrySet()) {
             // The sender handed the entry to the owner of the key according to the sender's view.
             boolean coversKey =
-                    viewAt(handover.getKey())
+                    FormerView.viewAt(handover.getKey(), current, former)
                             .flatMap(at -> at.ownerOf(service, key))
                             .filter(self::equals)
                             .isPresent();
@@ -256,16 +254,6 @@
         return Optional.empty();
     }
 
-    private Optional<MemberView> viewAt(long offset) {
-        if (current.offset() <= offset) {
-            return Optional.of(current);
-        }
-        return former.stream()
-                .map(FormerView::view)
-                .filter(view -> view.offset() <= offset)
-                .findFirst();
-    }
-
     /**
      * Returns whether this node owns the key according to its current view, regardless of the
      * lease.
@@ -301,36 +289,13 @@
     /** Returns the processes that may have run calls with a key unknown to this node. */
     public Set<RegisteredMember> unsettled(long nowNanos) {
         update(nowNanos);
-        boolean lostOwner = hasLostOwner();
-        Set<RegisteredMember> unknownToOthers = handovers.unsettled();
-        Set<RegisteredMember> result = new HashSet<>();
-        MemberView next = current;
-        for (FormerView view : former) {
-            MemberView replacement = next;
-            members(view.view())
-                    .filter(member -> !member.equals(self))
-                    .filter(
-                            member ->
-                                    !view.hasWindowPassed(
-                                            member, ended, takeoverWaitNanos(), nowNanos))
-                    .filter(
-                            member ->
-                                    lostOwner
-                                            || unknownToOthers.contains(member)
-                                            || (canLoseKeys(member, view.view(), replacement)
-                                                    && !hasHandedOver(member, view, replacement)))
-                    .forEach(result::add);
-            next = view.view();
-        }
-        return result;
-    }
-
-    /**
-     * Returns whether a key can have moved from a member to this node when a view was replaced. No
-     * key moves between two nodes that are in both views, as they keep their relative rank.
-     */
-    private boolean canLoseKeys(RegisteredMember member, MemberView view, MemberView next) {
-        return next.contains(self) && !(view.contains(self) && next.contains(member));
+        return UnsettledProcesses.find(
+                self,
+                current,
+                former,
+                handovers,
+                (view, member) ->
+                        view.hasWindowPassed(member, ended, takeoverWaitNanos(), nowNanos));
     }
 
     /**
@@ -392,7 +357,8 @@
     }
 
     private boolean hasWindowPassedForAll(FormerView view, long nowNanos) {
-        return members(view.view())
+        return view.view()
+                .members()
                 .allMatch(
                         member ->
                                 member.equals(self)
@@ -400,59 +366,12 @@
                                                 member, ended, takeoverWaitNanos(), nowNanos));
     }
 
-    /**
-     * Returns whether a member of a former view has been lost without a handover, so that this node
-     * may own keys whose calls it does not know of.
-     */
-    private boolean hasLostOwner() {
-        MemberView replacement = current;
-        for (FormerView view : former) {
-            if (hasLostOwner(view, replacement)) {
-                return true;
-            }
-            replacement = view.view();
-        }
-        return false;
-    }
-
-    private boolean hasLostOwner(FormerView view, MemberView replacement) {
-        return members(view.view())
-                .anyMatch(
-                        member ->
-                                !member.equals(self)
-                                        && !current.contains(member)
-                                        && !hasHandedOver(member, view, replacement));
-    }
-
-    /**
-     * Returns whether a member of a former view has handed over all keys that this node owned after
-     * the view was replaced. A handover under a later view leaves out the keys of members that had
-     * joined until then.
-     */
-    private boolean hasHandedOver(RegisteredMember member, FormerView view, MemberView next) {
-        return handovers.handoversSince(member, view.replacementOffset()).keySet().stream()
-                .anyMatch(offset -> hasNoJoinersUntil(offset, next));
-    }
-
-    private boolean hasNoJoinersUntil(long offset, MemberView since) {
-        if (offset > current.offset()) {
-            return false;
-        }
-        return viewAt(offset)
-                .filter(
-                        view ->
-                                since.incarnations()
-                                        .keySet()
-                                        .containsAll(view.incarnations().keySet()))
-                .isPresent();
-    }
-
     private boolean isConfirmedByMajority(long nowNanos) {
         if (!current.hasEnoughVoters()) {
             return false;
         }
         long confirmations =
-                members(current)
+                current.members()
                         .filter(
                                 member ->
                                         member.equals(self)
@@ -470,8 +389,8 @@
     private void removeDepartedMembers() {
         confirmedAt.keySet().removeIf(member -> !current.contains(member));
         Set<RegisteredMember> known = new HashSet<>();
-        members(current).forEach(known::add);
-        former.forEach(view -> members(view.view()).forEach(known::add));
+        current.members().forEach(known::add);
+        former.forEach(view -> view.view().members().forEach(known::add));
         known.add(self);
         offsetsRead.keySet().retainAll(known);
         long oldest =
@@ -479,10 +398,4 @@
         handovers.retain(known, oldest);
         ended.retainAll(known);
     }
-
-    private static Stream<RegisteredMember> members(MemberView view) {
-        return view.incarnations().entrySet().stream()
-                .map(entry -> new RegisteredMember(entry.getKey(), entry.getValue()))
-                .sorted(Comparator.comparing(RegisteredMember::node));
-    }
 }
--- a/core/src/main/java/org/dogwoodwood/core/idempotency/MemberView.java
+++ b/core/src/main/java/org/dogwoodwood/core/idempotency/MemberView.java
@@ -2,9 +2,11 @@
 
 import static org.dogwoodwood.core.Preconditions.checkArgument;
 
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.RendezvousHash;
@@ -42,6 +44,13 @@
                 .map(node -> new RegisteredMember(node, incarnations.get(node)));
     }
 
+    /** Returns the registered processes, ordered by node id. */
+    Stream<RegisteredMember> members() {
+        return incarnations.entrySet().stream()
+                .map(entry -> new RegisteredMember(entry.getKey(), entry.getValue()))
+                .sorted(Comparator.comparing(RegisteredMember::node));
+    }
+
     /** Returns whether a process is registered. */
     public boolean contains(RegisteredMember member) {
         Long incarnation = incarnations.get(member.node());
