Decide about pings apart from the connection

PingSchedule holds them now; PingScheduleTests guards that a connection on which frames pass both ways needs no ping, that one on which only the peer sends is still pinged, and that a silent one is closed after three missed pings.

--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
@@ -42,6 +42,7 @@
     private final Endpoint endpoint;
     private final PeerIdentity identity;
     private final PeerTimings timings;
+    private final PingSchedule pings;
     private final EventLog log;
     private final Owner owner;
     private FrameConnection connection;
@@ -50,11 +51,6 @@
     private boolean closed;
     private long pingSequence;
     private long pingSentNanos;
-    private int missedPings;
-    private int ticksSincePing;
-    private boolean pingPending;
-    private boolean sentSincePing;
-    private boolean receivedSinceSent;
 
     PeerLink(
             Vertx vertx,
@@ -67,6 +63,7 @@
         this.endpoint = endpoint;
         this.identity = identity;
         this.timings = timings;
+        this.pings = PingSchedule.create(timings);
         this.log = log;
         this.owner = owner;
     }
@@ -83,7 +80,7 @@
     }
 
     void send(Frame frame) {
-        sentSincePing = true;
+        pings.onSent();
         connection.send(frame);
     }
 
@@ -175,8 +172,7 @@
         if (!isReady()) {
             return;
         }
-        startPingInterval();
-        pingPending = true;
+        pings.onPing();
         pingSequence++;
         pingSentNanos = System.nanoTime();
         connection.send(PingFrame.of(pingSequence));
@@ -187,40 +183,15 @@
         if (!isReady()) {
             return;
         }
-        boolean received = connection.takeReceived();
-        ticksSincePing++;
-        if (received) {
-            missedPings = 0;
-            pingPending = false;
-            receivedSinceSent = sentSincePing;
-        } else if (pingPending) {
-            // Each tick counts at most one missed ping, so that a pause of this process does not
-            // close connections whose pongs wait in the socket.
-            missedPings++;
-        }
-        if (missedPings >= timings.maxMissedPings()) {
-            log.write(LogEvent.PEER_SILENT, "peer", endpoint, "missed", missedPings);
-            close();
-            return;
-        }
-        boolean due = ticksSincePing >= timings.idlePingInterval();
-        if (due && receivedSinceSent) {
-            // Frames have passed in both directions, so that the peer, too, sees a live connection.
-            startPingInterval();
-            due = false;
-        }
-        // No extra ping if bytes have arrived, since they show that the connection works.
-        if (due || pingPending || (owner.isBusy() && !received)) {
+        PingSchedule.Action action = pings.tick(connection.takeReceived(), owner.isBusy());
+        if (action == PingSchedule.Action.PING) {
             ping();
+        } else if (action == PingSchedule.Action.CLOSE) {
+            log.write(LogEvent.PEER_SILENT, "peer", endpoint, "missed", pings.missedPings());
+            close();
         }
     }
 
-    private void startPingInterval() {
-        ticksSincePing = 0;
-        sentSincePing = false;
-        receivedSinceSent = false;
-    }
-
     private void onPong(PongFrame pong) {
         if (pong.sequence() == pingSequence) {
             owner.onPong(System.nanoTime() - pingSentNanos, pong.report());
