Do not vouch for owners of keys from before all registrations expired

Change: a view without members does not count as the one that replaced the view before it. Measured: a test in KeyOwnershipTests failed before.

--- a/core/src/main/java/org/dogwoodwood/core/idempotency/UnsettledProcesses.java
+++ b/core/src/main/java/org/dogwoodwood/core/idempotency/UnsettledProcesses.java
@@ -68,11 +68,17 @@
                                             || (canLoseKeys(member, view.view(), replacement)
                                                     && !hasHandedOver(member, view, replacement)))
                     .forEach(result::add);
-            next = view.view();
+            next = replacementOfOlder(view, next);
         }
         return result;
     }
 
+    // No member owns a key under a view without members, so that keys move on from the view before
+    // it to the one after it.
+    private static MemberView replacementOfOlder(FormerView view, MemberView next) {
+        return view.view().incarnations().isEmpty() ? next : view.view();
+    }
+
     /**
      * Returns whether a key can have moved from a member to this node when a view was replaced. No
      * key moves between two nodes that are in both views, as they keep their relative rank.
@@ -91,7 +97,7 @@
             if (hasLostOwner(view, replacement)) {
                 return true;
             }
-            replacement = view.view();
+            replacement = replacementOfOlder(view, replacement);
         }
         return false;
     }
--- a/core/src/test/java/org/dogwoodwood/core/idempotency/KeyOwnershipTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/idempotency/KeyOwnershipTests.java
@@ -271,4 +271,18 @@
         b.ownership.onHandover(a.member, 5, Set.of(), 2);
         assertThat(b.ownership.unsettled(3)).contains(a.member);
     }
+
+    /**
+     * Guards against vouching for a former owner after all registrations have expired, as they do
+     * when the log was down; found by the fault matrix.
+     */
+    @Test
+    void aMemberDoesNotVouchForOwnersFromBeforeAllRegistrationsExpired() {
+        MemberView none = view(4);
+        a.read(abc, 0);
+        a.read(none, 1);
+        a.read(view(5, a.member), 1);
+        a.read(view(6, a.member, b.member, c.member), 1);
+        assertThat(a.ownership.unsettled(2)).contains(b.member);
+    }
 }
