Do not bring back orders that the operator has withdrawn

Cause: orders of the operator's records were also copied to the stream membership, each after 15 s times a node's rank. Between a withdrawal and its copy, the newest copy says OUT. A process that starts then reads from the operator's records that the data centre has no order, which it took for no statement at all, and then the copy, which nothing contradicts.

The event did not name its source; it now has the field origin.

What it lacks is withdrawn, also when a peer sends it later, with a counter that corrects that peer. Orders that the source holds are neither copied to the log nor taken from copies there. Orders of the admin port are kept as before; the order id of the source is reserved there. The gossip strategy no longer keeps a second table of orders.

--- a/core/src/main/java/org/dogwoodwood/core/membership/DataCentreOrders.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/DataCentreOrders.java
@@ -1,7 +1,9 @@
 package org.dogwoodwood.core.membership;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -9,10 +11,14 @@
  *
  * <p>A merge keeps the order with the highest counter, on a tie OUT, then the higher order id. It
  * is commutative, associative and idempotent, so nodes converge whatever the order of delivery.
+ *
+ * <p>A snapshot of an operators' source is a statement about every data centre. Orders of that
+ * source that the snapshot no longer holds are replaced by IN, also when a peer sends one later.
  */
 public final class DataCentreOrders {
 
     private final Map<String, DataCentreOrder> orders = new TreeMap<>();
+    private Optional<OrderSnapshot> snapshot = Optional.empty();
 
     private DataCentreOrders() {}
 
@@ -42,17 +48,45 @@
     /**
      * Merges an order from a peer or the log.
      *
-     * @return whether it replaced the one in force
+     * @return whether the order in force for its data centre changed
      */
     public boolean merge(DataCentreOrder order) {
+        DataCentreOrder effective = effectiveOrder(order);
         DataCentreOrder present = orders.get(order.dataCentre());
-        if (present != null && !order.supersedes(present)) {
+        if (present != null && !effective.supersedes(present)) {
             return false;
         }
-        orders.put(order.dataCentre(), order);
+        orders.put(order.dataCentre(), effective);
         return true;
     }
 
+    /**
+     * Merges all orders of an operators' source, and withdraws those that it no longer holds.
+     *
+     * @param newSnapshot the orders; ignored if a later snapshot has been merged
+     * @return the data centres whose order in force changed
+     */
+    public List<String> merge(OrderSnapshot newSnapshot) {
+        if (snapshot.isPresent() && snapshot.get().counter() > newSnapshot.counter()) {
+            return List.of();
+        }
+        snapshot = Optional.of(newSnapshot);
+        List<String> changed = new ArrayList<>();
+        List<DataCentreOrder> received = new ArrayList<>(newSnapshot.orders());
+        received.addAll(orders.values());
+        for (DataCentreOrder order : received) {
+            if (merge(order)) {
+                changed.add(order.dataCentre());
+            }
+        }
+        return changed;
+    }
+
+    /** Returns the order in force for a data centre; empty if there has been none. */
+    public Optional<DataCentreOrder> find(String dataCentre) {
+        return Optional.ofNullable(orders.get(dataCentre));
+    }
+
     /** Returns whether operators have taken the data centre out. */
     public boolean isOut(String dataCentre) {
         DataCentreOrder order = orders.get(dataCentre);
@@ -75,4 +109,10 @@
         }
         return hash;
     }
+
+    private DataCentreOrder effectiveOrder(DataCentreOrder order) {
+        return snapshot.filter(held -> held.withdraws(order))
+                .map(held -> held.withdrawalOf(order))
+                .orElse(order);
+    }
 }
--- a/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
@@ -33,7 +33,6 @@
     private final UpdateQueue<String> orderQueue = new UpdateQueue<>();
     private final UpdateQueue<NodeId> memberQueue = new UpdateQueue<>();
     private final UpdateQueue<String> crashQueue = new UpdateQueue<>();
-    private final Map<String, DataCentreOrder> ordersByName = new HashMap<>();
     private final Map<String, TimedReport> crashReports = new HashMap<>();
     private List<NodeId> localNodes = List.of();
     private List<NodeId> remoteNodes = List.of();
@@ -67,10 +66,9 @@
         memberQueue.add(member.node());
     }
 
-    /** Queues a new data centre order for dissemination. */
-    public void onOrder(DataCentreOrder order) {
-        ordersByName.put(order.dataCentre(), order);
-        orderQueue.add(order.dataCentre());
+    /** Queues the order in force for a data centre for dissemination. */
+    public void onOrderChanged(String dataCentre) {
+        orderQueue.add(dataCentre);
     }
 
     /**
@@ -192,7 +190,7 @@
         message.livenessUpdates().forEach(update -> table.merge(update, nowNanos));
         for (DataCentreOrder order : message.orders()) {
             if (orders.merge(order)) {
-                onOrder(order);
+                onOrderChanged(order.dataCentre());
             }
         }
         message.crashReports().forEach(report -> onCrashReport(report, nowNanos));
@@ -236,7 +234,7 @@
                 .forEach(livenessUpdates::add);
         List<DataCentreOrder> sentOrders =
                 orderQueue.take(budget.remaining, this::orderBytes, table.size()).stream()
-                        .map(this::order)
+                        .map(orders::find)
                         .flatMap(Optional::stream)
                         .toList();
         sentOrders.forEach(order -> budget.tryReserve(order.encodedBytes()));
@@ -296,11 +294,7 @@
     }
 
     private int orderBytes(String dataCentre) {
-        return order(dataCentre).map(DataCentreOrder::encodedBytes).orElse(0);
-    }
-
-    private Optional<DataCentreOrder> order(String dataCentre) {
-        return Optional.ofNullable(ordersByName.get(dataCentre));
+        return orders.find(dataCentre).map(DataCentreOrder::encodedBytes).orElse(0);
     }
 
     private int crashReportBytes(String key) {
--- a/core/src/test/java/org/dogwoodwood/core/membership/DataCentreOrdersTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/membership/DataCentreOrdersTests.java
@@ -49,6 +49,43 @@
         assertThat(orders.issue("north", DataCentreOrder.State.IN, "b").counter()).isEqualTo(2);
     }
 
+    /** Guards against a withdrawn order that comes into force again from an outdated peer. */
+    @Test
+    void snapshotWithdrawsOrdersThatItLacks() {
+        DataCentreOrder outdated = out("north", 5, "operator");
+        DataCentreOrders orders = DataCentreOrders.create();
+        orders.merge(outdated);
+        List<String> changed =
+                orders.merge(
+                        new OrderSnapshot(9, "operator", List.of(out("south", 7, "operator"))));
+        assertThat(changed).containsExactlyInAnyOrder("north", "south");
+        assertThat(orders.isOut("north")).isFalse();
+        assertThat(orders.isOut("south")).isTrue();
+
+        DataCentreOrders restarted = DataCentreOrders.create();
+        restarted.merge(new OrderSnapshot(9, "operator", List.of()));
+        restarted.merge(outdated);
+        assertThat(restarted.isOut("north")).isFalse();
+        assertThat(restarted.all().get(0).supersedes(outdated)).isTrue();
+    }
+
+    /** Guards against a snapshot that undoes newer orders or orders of another source. */
+    @Test
+    void snapshotKeepsNewerAndOtherOrders() {
+        DataCentreOrders orders = DataCentreOrders.create();
+        orders.merge(out("north", 10, "operator"));
+        orders.merge(out("south", 2, "tool-1"));
+        orders.merge(new OrderSnapshot(9, "operator", List.of()));
+        orders.merge(new OrderSnapshot(8, "operator", List.of(out("east", 4, "operator"))));
+        assertThat(orders.isOut("north")).isTrue();
+        assertThat(orders.isOut("south")).isTrue();
+        assertThat(orders.isOut("east")).isFalse();
+    }
+
+    private static DataCentreOrder out(String dataCentre, long counter, String orderId) {
+        return new DataCentreOrder(dataCentre, counter, DataCentreOrder.State.OUT, orderId);
+    }
+
     private static List<DataCentreOrder> merge(List<DataCentreOrder> sent) {
         DataCentreOrders orders = DataCentreOrders.create();
         sent.forEach(orders::merge);
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedControl.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedControl.java
@@ -95,7 +95,7 @@
     /** Issues an operator's order at this node. */
     public void order(String dataCentre, DataCentreOrder.State state, String orderId) {
         DataCentreOrder order = orders.issue(dataCentre, state, orderId);
-        gossip.onOrder(order);
+        gossip.onOrderChanged(order.dataCentre());
         membership.appendOrder(order);
         gossipNow();
     }
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedMembership.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedMembership.java
@@ -115,7 +115,7 @@
         } else if (entry instanceof LogEntry.Order order) {
             applyToMembers(stored, Kind.OTHER, node.id(), 0);
             if (control.orders().merge(order.order())) {
-                control.gossip().onOrder(order.order());
+                control.gossip().onOrderChanged(order.order().dataCentre());
             }
         }
     }
--- a/node/src/main/java/org/dogwoodwood/node/control/ConfigurationSource.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ConfigurationSource.java
@@ -1,7 +1,7 @@
 package org.dogwoodwood.node.control;
 
-import java.util.List;
 import org.dogwoodwood.core.membership.DataCentreOrder;
+import org.dogwoodwood.core.membership.OrderSnapshot;
 
 /** The source of the operators' configurations; used on the control thread. */
 public interface ConfigurationSource {
@@ -17,8 +17,11 @@
          */
         void onConfiguration(long version, String document);
 
-        /** Handles orders about data centres; superseded orders have no effect. */
-        void onOrders(List<DataCentreOrder> orders);
+        /** Handles a new order about a data centre; a superseded order has no effect. */
+        void onOrder(DataCentreOrder order);
+
+        /** Handles all orders that the source holds; orders that it lacks are withdrawn. */
+        void onOrders(OrderSnapshot snapshot);
 
         /** Called after a successful read. */
         void onRead();
@@ -41,4 +44,10 @@
 
     /** Returns the offset to read next. */
     long nextOffset();
+
+    /**
+     * Returns whether an order came from this source, which holds it until it is withdrawn. Copies
+     * of such an order on the platform log may be outdated and are not used.
+     */
+    boolean holds(DataCentreOrder order);
 }
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -23,6 +23,7 @@
 import org.dogwoodwood.core.membership.Member;
 import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.membership.MembershipTable;
+import org.dogwoodwood.core.membership.OrderSnapshot;
 import org.dogwoodwood.core.membership.RegistrationList;
 import org.dogwoodwood.core.membership.StableHash;
 import org.dogwoodwood.core.model.TargetState;
@@ -65,6 +66,7 @@
     private final LogReader membershipReader;
     private final RoutingTableBuilder routingTableBuilder;
     private RoutingTable publishedTable = RoutingTable.empty();
+    private List<DataCentreOrder> loggedOrders = List.of();
     private volatile boolean ready;
     private boolean publishScheduled;
     private long highestIncarnation;
@@ -123,6 +125,7 @@
                         strategy,
                         appender,
                         this::rankOf,
+                        this::isHeldBySource,
                         this::onOrdersChanged,
                         random,
                         components.keyedCalls());
@@ -249,6 +252,11 @@
             throw malformedOrder();
         }
         DataCentreOrder.State wanted = out ? DataCentreOrder.State.OUT : DataCentreOrder.State.IN;
+        if (configurationReader.holds(new DataCentreOrder(dataCentre, 0, wanted, orderId))) {
+            throw new DogwoodwoodException(
+                    ErrorCode.BAD_REQUEST,
+                    "The order_id \"" + orderId + "\" is reserved; choose another one.");
+        }
         return ControlReport.toJson(membership.issueOrder(dataCentre, wanted, orderId));
     }
 
@@ -273,16 +281,19 @@
     }
 
     @Override
-    public void onOrders(List<DataCentreOrder> received) {
-        boolean changed = false;
-        for (DataCentreOrder order : received) {
-            if (orders.merge(order)) {
-                strategy.onOrder(order);
-                changed = true;
-            }
+    public void onOrder(DataCentreOrder order) {
+        if (orders.merge(order)) {
+            strategy.onOrderChanged(order.dataCentre());
+            onOrdersChanged(OrderOrigin.OPERATORS);
         }
-        if (changed) {
-            onOrdersChanged();
+    }
+
+    @Override
+    public void onOrders(OrderSnapshot snapshot) {
+        List<String> changed = orders.merge(snapshot);
+        changed.forEach(strategy::onOrderChanged);
+        if (!changed.isEmpty()) {
+            onOrdersChanged(OrderOrigin.OPERATORS);
         }
     }
 
@@ -300,6 +311,10 @@
     public void onMessage(GossipMessage message) {
         crashEvidence.merge(message.crashReports(), System.nanoTime());
         configurationManager.onMessage(message, configurationReader.isReachable());
+        // The strategy has merged the orders of the message.
+        if (!orders.all().equals(loggedOrders)) {
+            onOrdersChanged(OrderOrigin.PEER);
+        }
         updateReadiness();
         if (!message.crashReports().isEmpty()
                 || routingTableBuilder.isOutdated(System.nanoTime())) {
@@ -347,8 +362,13 @@
         schedulePublish();
     }
 
-    private void onOrdersChanged() {
-        events.write(LogEvent.DATA_CENTRE_ORDER, "orders", orders.all());
+    private boolean isHeldBySource(DataCentreOrder order) {
+        return configurationReader.holds(order);
+    }
+
+    private void onOrdersChanged(OrderOrigin origin) {
+        loggedOrders = orders.all();
+        events.write(LogEvent.DATA_CENTRE_ORDER, "origin", origin, "orders", loggedOrders);
         exchanger.requestExtraRound();
         schedulePublish();
     }
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -7,6 +7,7 @@
 import org.dogwoodwood.codec.log.LogRecord;
 import org.dogwoodwood.codec.log.LogRecordCodec;
 import org.dogwoodwood.core.DogwoodwoodException;
+import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
 
@@ -105,6 +106,11 @@
         return nextOffset;
     }
 
+    @Override
+    public boolean holds(DataCentreOrder order) {
+        return false;
+    }
+
     private void readNext() {
         if (stopped) {
             return;
--- a/node/src/main/java/org/dogwoodwood/node/control/MembershipManager.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/MembershipManager.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.dogwoodwood.codec.log.AnnouncementRecord;
@@ -41,7 +42,8 @@
     private final GossipStrategy strategy;
     private final LogAppender appender;
     private final ToIntFunction<String> rankOf;
-    private final Runnable orderListener;
+    private final Predicate<DataCentreOrder> heldBySource;
+    private final Consumer<OrderOrigin> orderListener;
     private final RegistrationList registrations = RegistrationList.create();
     private final OwnRegistration ownRegistration;
     private final Map<String, RecordedOrder> recordedOrders = new HashMap<>();
@@ -51,6 +53,13 @@
     private final List<LongConsumer> expiryListeners = new ArrayList<>();
     private long sequence;
 
+    /**
+     * Creates a manager without records.
+     *
+     * @param rankOf returns this node's rank among present nodes for a subject, from 0
+     * @param heldBySource whether the operators' source holds an order, so that the log does not
+     * @param orderListener receives the origin of orders that have come into force
+     */
     MembershipManager(
             ControlSettings settings,
             MembershipTable table,
@@ -58,7 +67,8 @@
             GossipStrategy strategy,
             LogAppender appender,
             ToIntFunction<String> rankOf,
-            Runnable orderListener,
+            Predicate<DataCentreOrder> heldBySource,
+            Consumer<OrderOrigin> orderListener,
             RandomGenerator random,
             boolean keyedCalls) {
         this.settings = settings;
@@ -67,6 +77,7 @@
         this.strategy = strategy;
         this.appender = appender;
         this.rankOf = rankOf;
+        this.heldBySource = heldBySource;
         this.orderListener = orderListener;
         this.ownRegistration =
                 new OwnRegistration(
@@ -136,17 +147,17 @@
     /** Issues an operator's order, disseminates it by gossip and appends it to the log. */
     DataCentreOrder issueOrder(String dataCentre, DataCentreOrder.State state, String orderId) {
         DataCentreOrder order = orders.issue(dataCentre, state, orderId);
-        strategy.onOrder(order);
-        orderListener.run();
+        strategy.onOrderChanged(dataCentre);
+        orderListener.accept(OrderOrigin.ADMIN_PORT);
         appendOrder(order);
         return order;
     }
 
     /** Renews orders near the retention limit and removes members past the expiry time. */
     void maintain(long nowMillis) {
-        for (DataCentreOrder order : orders.all()) {
-            renewOrderIfDue(order, nowMillis);
-        }
+        orders.all().stream()
+                .filter(heldBySource.negate())
+                .forEach(order -> renewOrderIfDue(order, nowMillis));
         updateDeadMembers(nowMillis);
         if (!appender.isPending(EXPIRY_KEY)) {
             deadSinceMillis.entrySet().stream()
@@ -205,10 +216,13 @@
     }
 
     private void onOrderRecord(DataCentreOrder order, long timestampMillis) {
+        if (heldBySource.test(order)) {
+            return;
+        }
         recordedOrders.put(order.dataCentre(), new RecordedOrder(order, timestampMillis));
         if (orders.merge(order)) {
-            strategy.onOrder(order);
-            orderListener.run();
+            strategy.onOrderChanged(order.dataCentre());
+            orderListener.accept(OrderOrigin.LOG);
         }
         boolean confirmed = orders.all().contains(order);
         if (confirmed) {
