Read on behind a cut read of the store, and soon after connections go silent

Cause, two faults. StoreClient took the end of the topic for the offset to read next, but the store cuts a read at 1 MiB; the records between were skipped at every node. And a read shows that its connection is silent only when its wait ends; waits were random, 4 s or longer.

Evidence: one test for each fault, failed before: readsTheRecordsBehindAReadThatWasCut ran into 20 s, followsAChangeWithinTwoSecondsAfterItsConnectionWentSilent took 6,029 ms. The stand-in of the store now cuts reads and can silence its open connections.

Change: a read continues after the last record that it received; an announced record that is not there is an error instead of an end; a read from before the first retained offset is complete anew; keys in the query are encoded. Two members in different data centres, chosen among those that tell by gossip that they can read the source (SourceReaders), wait 0.6 to 1 s plus 0.5 s for the answer; all others wait 20 to 28 s. So the first read ends within 1.5 s, also when one of the two has just been killed or one node alone reaches the store. A read without an answer is repeated at once on a new connection. Peers wait 0.2 instead of 0.75 s for their own read before they fetch a newer version.

Calls to the store without changes, worked out from the waits: 2.8 a second with 10 nodes (before 1.0), 5.6 with 76 (before 4.3), 6.4 with 95 (before 5.4).

Tests that changed: waitsLongerAmongManyMembers bounded the waits by the number of members; the number of frequent readers is now fixed, checked by onlyANodeThatReadsForOthersWaitsShortly (20 s or more for the others, which is stricter) and SourceReadersTests. OrderRestartTests asserted 0.3 s after the node was ready and failed once, in the row "3, 0, UP": its log shows the right order in force 0.7 s before the check and never another one, so the check was earlier than the table that is built from the orders; it now waits for the expected state and that it stays for 0.8 s.

--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/slopes/SyntheticSystem.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/slopes/SyntheticSystem.java
@@ -55,6 +55,7 @@
                 2,
                 Liveness.ALIVE,
                 true,
+                false,
                 new NodeAddress(dataCentre(index), address(index), PEER_PORT, HTTP_PORT),
                 new MemberTarget(serviceName(index), SLOTS, CONNECTIONS, TargetState.WARM));
     }
--- a/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
@@ -81,6 +81,7 @@
         packer.packLong(member.version());
         packer.packInt(member.liveness().code());
         packer.packBoolean(member.ready());
+        packer.packBoolean(member.readsSource());
         packer.packString(member.address().dataCentre());
         packer.packString(member.address().host());
         packer.packInt(member.address().peerPort());
@@ -97,6 +98,7 @@
         long version = unpacker.unpackLong();
         Liveness liveness = readLiveness(unpacker);
         boolean ready = unpacker.unpackBoolean();
+        boolean readsSource = unpacker.unpackBoolean();
         NodeAddress address =
                 new NodeAddress(
                         readName(unpacker),
@@ -109,7 +111,8 @@
                         unpacker.unpackInt(),
                         unpacker.unpackInt(),
                         TARGET_STATES.get(unpacker.unpackInt()));
-        return new Member(node, incarnation, version, liveness, ready, address, target);
+        return new Member(
+                node, incarnation, version, liveness, ready, readsSource, address, target);
     }
 
     private static void writeLivenessUpdate(MessagePacker packer, LivenessUpdate update)
--- a/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
@@ -36,6 +36,7 @@
                     Long.MAX_VALUE,
                     Liveness.SUSPECT,
                     true,
+                    true,
                     new NodeAddress("north", "255.255.255.255", 65_535, 65_535),
                     new MemberTarget("outings", 1_000_000, 1_000_000, TargetState.DRAINING));
     private static final GossipMessage MESSAGE =
@@ -118,6 +119,7 @@
                 3,
                 Liveness.ALIVE,
                 true,
+                true,
                 new NodeAddress("data-centre-12", "10.255.255.255", 17_000, 18_000),
                 new MemberTarget("payments", 18, 240, TargetState.WARM));
     }
--- a/core/src/main/java/org/dogwoodwood/core/membership/Member.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/Member.java
@@ -12,6 +12,8 @@
  * @param version increases with each change that the node declares
  * @param liveness the liveness observed by others
  * @param ready whether the node has received the configuration and the members
+ * @param readsSource whether the node can read the source of the operators' configurations; false
+ *     if it has none besides the log
  * @param address where the node can be reached
  * @param target the target beside it
  */
@@ -21,11 +23,12 @@
         long version,
         Liveness liveness,
         boolean ready,
+        boolean readsSource,
         NodeAddress address,
         MemberTarget target) {
 
     // Numbers, flags and the MessagePack headers of an encoded member.
-    private static final int FIXED_BYTES = 48;
+    private static final int FIXED_BYTES = 49;
 
     /** Checks that the references are present. */
     public Member {
@@ -58,29 +61,59 @@
 
     /** Returns the same member with the given liveness. */
     public Member withLiveness(Liveness newLiveness) {
-        return new Member(node, incarnation, version, newLiveness, ready, address, target);
+        return new Member(
+                node, incarnation, version, newLiveness, ready, readsSource, address, target);
     }
 
     /** Returns the member as alive with the given version. */
     public Member withVersion(long newVersion) {
-        return new Member(node, incarnation, newVersion, Liveness.ALIVE, ready, address, target);
+        return new Member(
+                node, incarnation, newVersion, Liveness.ALIVE, ready, readsSource, address, target);
     }
 
     /** Returns the member as alive with the next version and the given target. */
     public Member withTarget(MemberTarget newTarget) {
         return new Member(
-                node, incarnation, version + 1, Liveness.ALIVE, ready, address, newTarget);
+                node,
+                incarnation,
+                version + 1,
+                Liveness.ALIVE,
+                ready,
+                readsSource,
+                address,
+                newTarget);
     }
 
     /** Returns the member as alive with the next version and the given readiness. */
     public Member withReady(boolean newReady) {
         return new Member(
-                node, incarnation, version + 1, Liveness.ALIVE, newReady, address, target);
+                node,
+                incarnation,
+                version + 1,
+                Liveness.ALIVE,
+                newReady,
+                readsSource,
+                address,
+                target);
+    }
+
+    /** Returns the member as alive with the next version and whether it can read the source. */
+    public Member withReadsSource(boolean newReadsSource) {
+        return new Member(
+                node,
+                incarnation,
+                version + 1,
+                Liveness.ALIVE,
+                ready,
+                newReadsSource,
+                address,
+                target);
     }
 
     /** Returns the member as alive with the given incarnation and version 1. */
     public Member withIncarnation(long newIncarnation) {
-        return new Member(node, newIncarnation, 1, Liveness.ALIVE, ready, address, target);
+        return new Member(
+                node, newIncarnation, 1, Liveness.ALIVE, ready, readsSource, address, target);
     }
 
     /** Returns the liveness of this version of the member. */
--- a/core/src/test/java/org/dogwoodwood/core/membership/GossipScaleTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/membership/GossipScaleTests.java
@@ -55,6 +55,7 @@
                 1,
                 Liveness.ALIVE,
                 true,
+                false,
                 new NodeAddress("dc-" + index % 34, "10.0.0.1", 7_000, 8_000),
                 new MemberTarget("service-" + index % 970, 18, 240, TargetState.WARM));
     }
--- a/core/src/test/java/org/dogwoodwood/core/membership/SimulatedCluster.java
+++ b/core/src/test/java/org/dogwoodwood/core/membership/SimulatedCluster.java
@@ -146,6 +146,7 @@
                             1,
                             Liveness.ALIVE,
                             true,
+                            false,
                             new NodeAddress("dc-" + index % dataCentres, "127.0.0.1", 1, 2),
                             new MemberTarget("service", 4, 10, TargetState.WARM));
             table =
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedControl.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedControl.java
@@ -214,6 +214,7 @@
                 1,
                 Liveness.ALIVE,
                 false,
+                false,
                 new NodeAddress(node.dataCentre(), "127.0.0.1", 0, 0),
                 new MemberTarget(
                         SimulatedCluster.SERVICE,
--- a/node/src/main/java/org/dogwoodwood/node/control/ConfigurationManager.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ConfigurationManager.java
@@ -27,7 +27,7 @@
 final class ConfigurationManager implements LogReader.EntryListener {
 
     private static final long FETCH_TIMEOUT_MILLIS = 2_000;
-    private static final long LOG_HEAD_START_MILLIS = 750;
+    private static final long LOG_HEAD_START_MILLIS = 200;
     private static final String RENEWAL_KEY = "configuration-renewal";
 
     private final Vertx vertx;
--- a/node/src/main/java/org/dogwoodwood/node/control/ConfigurationSource.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ConfigurationSource.java
@@ -26,8 +26,10 @@
         /** Called after a successful read. */
         void onRead();
 
-        /** Returns the number of members that exchange what they have read, including this node. */
-        int memberCount();
+        /**
+         * Returns whether this node reads the source at short intervals, on behalf of the others.
+         */
+        boolean readsForOthers();
     }
 
     /** Starts reading. */
@@ -36,6 +38,9 @@
     /** Stops reading. */
     void stop();
 
+    /** Called when it may have changed which members read the source on behalf of the others. */
+    void onMembersChanged();
+
     /** Returns whether the source has been read to its end at least once. */
     boolean isCaughtUp();
 
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -25,6 +25,7 @@
 import org.dogwoodwood.core.membership.MembershipTable;
 import org.dogwoodwood.core.membership.OrderSnapshot;
 import org.dogwoodwood.core.membership.RegistrationList;
+import org.dogwoodwood.core.membership.SourceReaders;
 import org.dogwoodwood.core.membership.StableHash;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.core.routing.RoutingTable;
@@ -57,6 +58,7 @@
     private final PlatformLog log;
     private final MembershipTable table;
     private final DataCentreOrders orders = DataCentreOrders.create();
+    private final SourceReaders sourceReaders;
     private final GossipStrategy strategy;
     private final GossipExchanger exchanger;
     private final LogAppender appender;
@@ -99,11 +101,13 @@
                         1,
                         Liveness.ALIVE,
                         false,
+                        false,
                         settings.address(),
                         MemberTarget.none());
         this.table =
                 MembershipTable.create(
                         self, timings.membership(), this::onMemberChanged, System.nanoTime());
+        this.sourceReaders = SourceReaders.of(table);
         this.strategy = GossipStrategy.create(table, orders, random);
         this.exchanger =
                 new GossipExchanger(vertx, transport, settings, table, strategy, random, this);
@@ -298,8 +302,8 @@
     }
 
     @Override
-    public int memberCount() {
-        return table.size();
+    public boolean readsForOthers() {
+        return sourceReaders.includesSelf();
     }
 
     @Override
@@ -326,6 +330,9 @@
     public void onRound() {
         long nowMillis = System.currentTimeMillis();
         membership.ownRegistration().announceIfDue(nowMillis);
+        if (components.configurationSourceFactory().isPresent()) {
+            announceSourceState();
+        }
         roundCount++;
         if (roundCount % ROUNDS_PER_MAINTENANCE == 0) {
             configurationManager.renewIfDue(nowMillis);
@@ -337,6 +344,14 @@
         schedulePublish();
     }
 
+    private void announceSourceState() {
+        boolean reachable = configurationReader.isReachable();
+        if (table.self().readsSource() != reachable) {
+            table.updateSelf(table.self().withReadsSource(reachable), System.nanoTime());
+        }
+        configurationReader.onMembersChanged();
+    }
+
     private void onMemberChanged(Member member) {
         if (member.node().equals(settings.node()) && member.incarnation() > highestIncarnation) {
             highestIncarnation = member.incarnation();
--- a/node/src/main/java/org/dogwoodwood/node/control/LogFailures.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogFailures.java
@@ -28,6 +28,18 @@
                 failure);
     }
 
+    /**
+     * Returns whether a request got no answer. Its connection may have stopped responding without
+     * being closed; a request on a new connection may then succeed.
+     *
+     * @param failure a failure that {@link #of} returned
+     */
+    public static boolean isUnanswered(Throwable failure) {
+        return failure instanceof DogwoodwoodException typed
+                && typed.code() == ErrorCode.LOG_UNAVAILABLE
+                && typed.getCause() != null;
+    }
+
     private static boolean isUnreadable(Throwable failure) {
         return failure instanceof DecodeException
                 || failure instanceof AnswerTooLargeException
--- a/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/LogReader.java
@@ -89,6 +89,11 @@
         stopped = true;
     }
 
+    @Override
+    public void onMembersChanged() {
+        // All members read the log alike.
+    }
+
     @Override
     public boolean isCaughtUp() {
         return caughtUp;
--- a/node/src/main/java/org/dogwoodwood/node/control/MembershipManager.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/MembershipManager.java
@@ -187,6 +187,7 @@
                         0,
                         Liveness.ALIVE,
                         true,
+                        false,
                         new NodeAddress(
                                 announcement.dataCentre(),
                                 announcement.host(),
--- a/node/src/main/java/org/dogwoodwood/node/http/BoundedExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/BoundedExchange.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.TimeoutException;
 
 /** One request of a {@link BoundedHttpClient} and its answer; it completes exactly once. */
@@ -35,6 +36,10 @@
         client.request(options).onSuccess(opened -> send(opened, body)).onFailure(this::fail);
     }
 
+    void cancel() {
+        fail(new CancellationException("the request was cancelled"));
+    }
+
     private void send(HttpClientRequest opened, Buffer body) {
         opened.exceptionHandler(this::fail);
         InterimResponses.limit(opened, this::fail);
--- a/node/src/main/java/org/dogwoodwood/node/http/BoundedHttpClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/BoundedHttpClient.java
@@ -1,6 +1,7 @@
 package org.dogwoodwood.node.http;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -50,7 +51,24 @@
      *     or an {@link AnswerTooLargeException} if a limit is exceeded
      */
     public Future<HttpAnswer> send(RequestOptions options, Buffer body, long timeoutMillis) {
+        return send(options, body, timeoutMillis, Promise.<Void>promise().future());
+    }
+
+    /**
+     * Sends a request that the caller can cancel.
+     *
+     * @param options the request, not null
+     * @param body its body, not null
+     * @param timeoutMillis the time within which the complete answer must arrive, in milliseconds
+     * @param cancellation cancels the request and closes its connection when it completes, not null
+     * @return a future of the answer; it fails with a {@link java.util.concurrent.TimeoutException}
+     *     or an {@link AnswerTooLargeException} if a limit is exceeded, and with a {@link
+     *     java.util.concurrent.CancellationException} if the request was cancelled
+     */
+    public Future<HttpAnswer> send(
+            RequestOptions options, Buffer body, long timeoutMillis, Future<Void> cancellation) {
         BoundedExchange exchange = new BoundedExchange(vertx, maxBodyBytes);
+        cancellation.onComplete(cancelled -> exchange.cancel());
         // All steps run on one event loop, so that no part of an answer is lost between two steps.
         if (Vertx.currentContext() == null) {
             vertx.runOnContext(ignored -> exchange.start(client, options, body, timeoutMillis));
--- a/node/src/test/java/org/dogwoodwood/node/control/RoutingTableBuilderTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/RoutingTableBuilderTests.java
@@ -74,6 +74,7 @@
                 1,
                 Liveness.ALIVE,
                 true,
+                false,
                 new NodeAddress("a", "127.0.0.1", 1, 0),
                 new MemberTarget("outings", 6, 220, TargetState.WARM));
     }
--- a/standins/src/main/java/org/dogwoodwood/standins/store/StandinStore.java
+++ b/standins/src/main/java/org/dogwoodwood/standins/store/StandinStore.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
@@ -13,7 +14,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -25,6 +28,8 @@
 
     private static final long POLL_INTERVAL_MILLIS = 10;
     private static final int OK = 200;
+    private static final String DEFAULT_MAX_KB = "1024";
+    private static final int BYTES_PER_KB = 1_024;
 
     private final Vertx vertx;
     private final Map<String, Topic> topics = new HashMap<>();
@@ -33,6 +38,8 @@
     private volatile boolean losesResponses;
     private final AtomicInteger calls = new AtomicInteger();
     private final List<Long> readWaits = new CopyOnWriteArrayList<>();
+    private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
+    private final Set<HttpConnection> silentConnections = ConcurrentHashMap.newKeySet();
 
     private StandinStore(Vertx vertx) {
         this.vertx = vertx;
@@ -41,7 +48,10 @@
     /** Starts a store on a free port of 127.0.0.1. */
     public static Future<StandinStore> start(Vertx vertx) {
         StandinStore store = new StandinStore(vertx);
-        store.server = vertx.createHttpServer().requestHandler(store::onRequest);
+        store.server =
+                vertx.createHttpServer()
+                        .connectionHandler(store.connections::add)
+                        .requestHandler(store::onRequest);
         return store.server.listen(0, "127.0.0.1").map(ignored -> store);
     }
 
@@ -60,6 +70,11 @@
         losesResponses = value;
     }
 
+    /** Lets all open connections go silent for good; new ones work. */
+    public void silenceConnections() {
+        silentConnections.addAll(connections);
+    }
+
     /** Returns how many requests have been received. */
     public int calls() {
         return calls.get();
@@ -103,27 +118,29 @@
                 long from = Long.parseLong(request.getParam("from"));
                 long waitMillis = Long.parseLong(request.getParam("waitMs", "0"));
                 readWaits.add(waitMillis);
-                read(request, topic, from, waitMillis);
+                int maxKb = Integer.parseInt(request.getParam("maxKb", DEFAULT_MAX_KB));
+                read(request, topic, from, maxKb * BYTES_PER_KB, waitMillis);
             }
             default -> respond(request, 404, Buffer.buffer());
         }
     }
 
     private synchronized void read(
-            HttpServerRequest request, Topic topic, long from, long waitMillis) {
+            HttpServerRequest request, Topic topic, long from, int maxBytes, long waitMillis) {
         if (from < topic.firstOffset) {
             respond(request, 410, new JsonObject().put("first", topic.firstOffset).toBuffer());
         } else if (from < topic.endOffset() || waitMillis <= 0) {
-            respond(request, OK, topic.recordsFrom(from));
+            respond(request, OK, topic.recordsFrom(from, maxBytes));
         } else {
             vertx.setTimer(
                     POLL_INTERVAL_MILLIS,
-                    id -> read(request, topic, from, waitMillis - POLL_INTERVAL_MILLIS));
+                    id -> read(request, topic, from, maxBytes, waitMillis - POLL_INTERVAL_MILLIS));
         }
     }
 
     private void respond(HttpServerRequest request, int status, Buffer body) {
-        if (!losesResponses && !request.response().closed()) {
+        boolean silent = silentConnections.contains(request.connection());
+        if (!losesResponses && !silent && !request.response().closed()) {
             request.response().setStatusCode(status).end(body);
         }
     }
@@ -184,16 +201,21 @@
                     .put("end", endOffset());
         }
 
-        Buffer recordsFrom(long from) {
+        /** Returns whole records up to a size, but at least one if there is any. */
+        Buffer recordsFrom(long from, int maxBytes) {
             Buffer data = Buffer.buffer().appendLong(endOffset()).appendLong(firstOffset);
-            for (Entry entry : entries) {
-                if (entry.offset() >= from) {
-                    byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
-                    data.appendInt(1 + key.length + entry.value().length())
-                            .appendUnsignedByte((short) key.length)
-                            .appendBytes(key)
-                            .appendBuffer(entry.value());
+            int emptyBytes = data.length();
+            for (Entry entry : entries.subList((int) (from - firstOffset), entries.size())) {
+                byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
+                int recordBytes = 1 + key.length + entry.value().length();
+                boolean full = data.length() + Integer.BYTES + recordBytes > maxBytes;
+                if (full && data.length() > emptyBytes) {
+                    break;
                 }
+                data.appendInt(recordBytes)
+                        .appendUnsignedByte((short) key.length)
+                        .appendBytes(key)
+                        .appendBuffer(entry.value());
             }
             return data;
         }
