Do not send a call again to the target that has rejected it

Cause: when all targets had rejected a call, the ingress fell back to one of them, with the same request id. The target sent its rejection a second time, late, and then ran the second attempt. Answers are matched by the request id, which does not tell attempts apart, so the copy of the first rejection was taken for the answer to the second attempt.

Evidence: the record of the case has the rejection, its copy, the run of the same id and then the 503 at the caller. Tests that failed before: RejectedCallTests (a whole node: the first of 20 rejected calls had run) and RepeatedAttemptTests, both rows (REFUSED instead of ANSWERED; 500 instead of 200).

Change: a call that is not idempotent does not go again to a target that has rejected it; without another target its caller gets that refusal at once, which is true of all attempts. A guard's own refusals are repeated as before, since the target never saw them. Further attempts of idempotent calls at the same target use connections of their own, an eighth of those of the target, so that a late copy of an error does not hide a success.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
@@ -19,7 +19,12 @@
 import org.dogwoodwood.node.loop.ReadFirstQueue;
 import org.dogwoodwood.node.settings.Endpoint;
 
-/** HTTP client of one target, with a connection pool for calls and one connection for polls. */
+/**
+ * HTTP client of one target, with a connection pool for calls and one connection for polls.
+ *
+ * <p>A further attempt of a call at the same target gets a connection of its own, on which no
+ * answer to an earlier attempt can arrive.
+ */
 final class TargetClient {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
@@ -32,13 +37,18 @@
 
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
+    // The part of the target's connections that further attempts may use.
+    private static final int CONNECTIONS_PER_REPEAT_CONNECTION = 8;
+
     private final Vertx vertx;
     private final TargetProtocol protocol;
     private final Endpoint address;
     private final EventLog log;
     private final HttpClient callClient;
+    private final HttpClient repeatClient;
     private final BoundedHttpClient pollClient;
     private final ReadFirstQueue startQueue;
+    private final SentRequests sentRequests = SentRequests.create();
 
     private TargetClient(
             Vertx vertx, TargetProtocol protocol, Endpoint address, int connections, EventLog log) {
@@ -46,11 +56,15 @@
         this.protocol = protocol;
         this.address = address;
         this.log = log;
-        // One of the target's connections is reserved for polls.
-        int callConnections = Math.max(1, connections - 1);
+        int repeatConnections = repeatConnections(connections);
+        int callConnections = callConnections(connections);
         this.callClient =
                 vertx.createHttpClient(
                         options(), new PoolOptions().setHttp1MaxSize(callConnections));
+        this.repeatClient =
+                vertx.createHttpClient(
+                        options().setKeepAlive(false),
+                        new PoolOptions().setHttp1MaxSize(repeatConnections));
         this.pollClient = BoundedHttpClient.create(vertx, options(), 1, MAX_POLL_BYTES);
         this.startQueue = ReadFirstQueue.create(vertx);
     }
@@ -60,6 +74,20 @@
         return new TargetClient(vertx, protocol, address, connections, log);
     }
 
+    /**
+     * Returns how many calls can be sent at a time.
+     *
+     * @param connections the number of connections that the target accepts
+     */
+    static int callConnections(int connections) {
+        // One of the target's connections is reserved for polls.
+        return Math.max(1, connections - 1 - repeatConnections(connections));
+    }
+
+    private static int repeatConnections(int connections) {
+        return Math.max(1, connections / CONNECTIONS_PER_REPEAT_CONNECTION);
+    }
+
     TargetExchange send(
             CallFrame frame,
             List<HeaderField> extraHeaders,
@@ -76,7 +104,9 @@
                         maxAnswerBytes,
                         this::onFault,
                         listener);
-        exchange.start(callClient, requestOptions(), timeoutMillis);
+        boolean repeated = sentRequests.add(requestId(frame), timeoutMillis, System.nanoTime());
+        HttpClient client = repeated ? repeatClient : callClient;
+        exchange.start(client, requestOptions(), timeoutMillis);
         return exchange;
     }
 
@@ -96,9 +126,14 @@
 
     void close() {
         callClient.close();
+        repeatClient.close();
         pollClient.close();
     }
 
+    private String requestId(CallFrame frame) {
+        return protocol.requestIdOf(frame).orElseGet(() -> frame.id().call().toString());
+    }
+
     private void onFailedPoll(Throwable failure) {
         if (!(failure instanceof ConnectException)) {
             onFault("Poll failed: " + failure + ".");
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -405,7 +405,7 @@
         listener.onCapacity(
                 new TargetCapacity(
                         slots,
-                        Math.max(1, announcement.connections() - 1),
+                        TargetClient.callConnections(announcement.connections()),
                         announcement.coldSlots(),
                         cold,
                         incarnation));
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -51,6 +51,8 @@
     // Nodes at which an attempt failed for a reason other than load, so that queueing there cannot
     // help.
     private final Set<NodeId> unusable = new HashSet<>();
+    // Nodes whose target has rejected an attempt itself.
+    private final Set<NodeId> rejectedBy = new HashSet<>();
     private Optional<FinishedCall> unknownResult = Optional.empty();
     private int attemptsMade;
     // Attempts that may have reached a target; the route's limit counts only these.
@@ -136,6 +138,9 @@
         if (state.isInRemovedDataCentresOnly()) {
             return ErrorCode.DATA_CENTRE_OUT;
         }
+        if (!rejectedBy.isEmpty()) {
+            return ErrorCode.TARGET_REFUSED;
+        }
         // A call whose key is owned by a departed target must not run at another one.
         return isKeyed() && !state.targets().isEmpty()
                 ? ErrorCode.KEY_IN_DOUBT
@@ -152,7 +157,16 @@
         Optional<RouteTarget> candidate = state.choose(excludedNodes, nowNanos);
         // When all targets have refused, the caller gets the reason from the answer of the best
         // one.
-        return candidate.isPresent() ? candidate : state.choose(Set.of(), nowNanos);
+        return candidate.isPresent() ? candidate : state.choose(neverAgain(), nowNanos);
+    }
+
+    /**
+     * Returns the nodes whose targets must not get this call again. A target may repeat its
+     * rejection late, in place of the answer to the next attempt; that attempt would then be taken
+     * for not run although it has run. Idempotent calls do no harm if they run again.
+     */
+    private Set<NodeId> neverAgain() {
+        return request.idempotent() ? Set.of() : rejectedBy;
     }
 
     private boolean isKeyed() {
@@ -223,6 +237,7 @@
         }
         if (hasReachedTarget(finished)) {
             targetsReached++;
+            rejectedBy.add(node);
         }
         if (openAttempts.isEmpty()) {
             retryOrEnd(attempt, finished, nowNanos);
--- a/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
@@ -7,7 +7,7 @@
 import org.dogwoodwood.core.model.HeaderField;
 
 /** A protocol in which announcements prove liveness and answers may report a slowdown. */
-final class SelfAnnouncingProtocol implements TargetProtocol {
+class SelfAnnouncingProtocol implements TargetProtocol {
 
     static final String SLOWDOWN = "Slowdown";
     static final String RESPONSE_TYPE = "Reading";
