Put only announced processes into service

Cause: the monitor took the process id of a health check for that of its target and put it into service. A health check names no service; the guard then told the target to expect that id, which disarmed the platform's check. The new process's heartbeats, which do name a service, were ignored for it.

Evidence: TargetMonitorTests.onlyAnAnnouncementBringsAnotherProcessIntoService and aLateAnnouncementDoesNotKeepAnotherProcessInService failed before, as the target stayed in service.

Change: a health check of another process than the announced one takes the target out of service until the next announcement; nothing else of it is used, and the target is not polled meanwhile. The new event TARGET_REPLACED names both processes. A target that starts again under a new id returns with its first heartbeat.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
@@ -46,20 +46,6 @@
         checkArgument(coldSlots > 0, "The cold slots of a target must be at least 1.");
     }
 
-    /** Returns a copy with another name of the target's process. */
-    public TargetAnnouncement withInstance(String newInstance) {
-        return new TargetAnnouncement(
-                service,
-                address,
-                slots,
-                connections,
-                coldSlots,
-                cold,
-                draining,
-                Optional.of(newInstance),
-                startedAtMillis);
-    }
-
     /** Creates an announcement without the name and start time of the target's process. */
     public TargetAnnouncement(
             String service,
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -200,7 +200,10 @@
             return;
         }
         if (responseType == TargetProtocol.ResponseType.NOT_RUN) {
-            onRefusal();
+            onRefusal(TargetResult.refused().withLoad(targetLoad()));
+        } else if (responseType == TargetProtocol.ResponseType.MISDIRECTED) {
+            // The load of another process says nothing about the target.
+            onRefusal(TargetResult.misdirected());
         }
         response.exceptionHandler(this::onBroken);
         response.handler(this::onBody);
@@ -208,8 +211,7 @@
     }
 
     /** Limits the wait for the body, since the head of a refusal already decides the result. */
-    private void onRefusal() {
-        TargetResult result = TargetResult.refused().withLoad(targetLoad());
+    private void onRefusal(TargetResult result) {
         refusal = Optional.of(result);
         vertx.setTimer(REFUSAL_BODY_TIMEOUT_MILLIS, ignored -> endAndReset(result));
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -68,6 +68,8 @@
     private long lastAliveNanos = System.nanoTime();
     private long lastLoadNanos = System.nanoTime();
     private boolean reportsSpeed;
+    // Another process than the announced one has answered; only an announcement names its service.
+    private boolean replaced;
     private long polls;
 
     TargetMonitor(
@@ -101,6 +103,7 @@
         boolean restarted = isRestart(next);
         boolean changed = !next.equals(announcement);
         announcement = next;
+        replaced = false;
         slots = next.slots();
         if (!sameAddress) {
             if (client != null) {
@@ -181,6 +184,8 @@
         switch (kind) {
             case ANSWERED -> failedPolls = 0;
             case CONNECT_FAILED -> onUnreachable();
+            // Its next poll tells whether another process has its address.
+            case MISDIRECTED -> pollNow();
             // The next poll shows whether the target has crashed.
             case BROKEN, CONNECTION_LOST -> tick();
             default -> {
@@ -212,7 +217,8 @@
 
     /** Polls the target now if the budget allows it; returns whether a poll is in progress. */
     boolean pollNow() {
-        if (client != null && !polling && budget.tryPoll(System.nanoTime())) {
+        boolean useful = client != null && !replaced;
+        if (useful && !polling && budget.tryPoll(System.nanoTime())) {
             poll();
         }
         return polling;
@@ -273,7 +279,7 @@
         if (!protocol.announcementProvesLiveness()) {
             return true;
         }
-        if (draining) {
+        if (draining || replaced) {
             return false;
         }
         return state == TargetState.DOWN
@@ -291,6 +297,10 @@
             return;
         }
         PollResult pollResult = protocol.readPoll(path, result.result());
+        if (isOtherProcess(pollResult)) {
+            onReplaced(pollResult.incarnation().orElseThrow());
+            return;
+        }
         lastLoadNanos = System.nanoTime();
         protocol.loadOf(result.result().headers()).ifPresent(listener::onLoad);
         switch (pollResult.kind()) {
@@ -307,6 +317,31 @@
         }
     }
 
+    /**
+     * Returns whether another process than the announced one answered a poll. Its answer does not
+     * tell its service, so nothing of it may be used.
+     */
+    private boolean isOtherProcess(PollResult pollResult) {
+        return protocol.announcementProvesLiveness()
+                && differ(pollResult.incarnation(), announcement.instance());
+    }
+
+    private void onReplaced(String found) {
+        replaced = true;
+        log.write(
+                LogEvent.TARGET_REPLACED,
+                "address",
+                announcement.address(),
+                "instance",
+                announcement.instance().orElse(""),
+                "found",
+                found);
+        if (state != TargetState.DOWN) {
+            goDown();
+            listener.onCrash();
+        }
+    }
+
     /** Ignores a failing health check while the target still announces itself as ready. */
     private void onUnhealthy() {
         boolean announcesItself =
@@ -336,9 +371,6 @@
         if (restarted) {
             onRestarted();
         }
-        if (reported.isPresent() && protocol.announcementProvesLiveness()) {
-            announcement = announcement.withInstance(reported.get());
-        }
         boolean nowCold = pollResult.cold().orElse(announcement.cold());
         boolean nowDraining = pollResult.draining().orElse(announcement.draining());
         cold = state == TargetState.DOWN ? nowCold : cold;
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetProtocol.java
@@ -15,6 +15,8 @@
         ANSWER,
         /** The target did not run the call and will not. */
         NOT_RUN,
+        /** Another process than the announced one answered; it did not run the call. */
+        MISDIRECTED,
         /** The response belongs to another call or does not come from the target. */
         FOREIGN
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetResult.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetResult.java
@@ -22,6 +22,8 @@
         ANSWERED,
         /** The target refused the call and did not run it. */
         REFUSED,
+        /** Another process than the expected one answered; the call did not run. */
+        MISDIRECTED,
         /** No connection could be opened; nothing was sent. */
         CONNECT_FAILED,
         /** The connection was lost before anything was sent, as happens when the target is full. */
@@ -40,6 +42,10 @@
         return of(FinishedCall.notRun(ErrorCode.TARGET_REFUSED), Kind.REFUSED);
     }
 
+    static TargetResult misdirected() {
+        return of(FinishedCall.notRun(ErrorCode.TARGET_REFUSED), Kind.MISDIRECTED);
+    }
+
     static TargetResult connectFailed() {
         return of(FinishedCall.notRun(ErrorCode.NO_TARGET), Kind.CONNECT_FAILED);
     }
@@ -69,7 +75,7 @@
         return switch (kind) {
             case ANSWERED ->
                     finished.answer().map(answer -> answer.status() >= SERVER_ERROR).orElse(true);
-            case CONNECT_FAILED, CONNECTION_LOST, BROKEN, REFUSED -> true;
+            case CONNECT_FAILED, CONNECTION_LOST, BROKEN, REFUSED, MISDIRECTED -> true;
             case ABORTED -> finished.error().orElse(null) == ErrorCode.DEADLINE_EXCEEDED;
         };
     }
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -34,6 +34,10 @@
     TARGET_ANSWER_UNUSABLE(
             309, Severity.WARNING, "An answer of the target broke off, breaks HTTP or a limit."),
     ANNOUNCEMENT_REFUSED(310, Severity.WARNING, "A heartbeat passed a limit and is refused."),
+    TARGET_REPLACED(
+            311,
+            Severity.WARNING,
+            "Another process answers at the address of the target, which is out of service."),
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
--- a/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
@@ -11,6 +11,7 @@
 
     static final String SLOWDOWN = "Slowdown";
     static final String RESPONSE_TYPE = "Reading";
+    static final String INSTANCE = "Instance";
 
     private final DefaultTargetProtocol defaultProtocol = DefaultTargetProtocol.create();
 
@@ -48,7 +49,14 @@
 
     @Override
     public PollResult readPoll(String path, PollAnswer answer) {
-        return defaultProtocol.readPoll(path, answer);
+        PollResult result = defaultProtocol.readPoll(path, answer);
+        String instance = answer.headers().get(INSTANCE);
+        return new PollResult(
+                result.kind(),
+                result.slots(),
+                result.cold(),
+                result.draining(),
+                Optional.ofNullable(instance));
     }
 
     @Override
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
@@ -27,6 +27,7 @@
     private static final int ANNOUNCEMENT_MILLIS = 500;
 
     private static final String HELD_PATH = "/held";
+    private static final String IDENTIFIED_PATH = "/identified";
 
     private final Vertx vertx = Vertx.vertx();
     private final AtomicInteger polls = new AtomicInteger();
@@ -34,6 +35,8 @@
     private TargetMonitor monitor;
     private Endpoint address;
     private volatile String healthPath = "/health";
+    private volatile String instance = "i-1";
+    private final LoadCounter listener = new LoadCounter();
 
     @BeforeEach
     void start() {
@@ -42,6 +45,13 @@
                         .requestHandler(
                                 request -> {
                                     polls.incrementAndGet();
+                                    if (request.path().equals(IDENTIFIED_PATH)) {
+                                        request.response()
+                                                .putHeader("Instance", instance)
+                                                .putHeader("Slowdown", "7")
+                                                .end();
+                                        return;
+                                    }
                                     if (request.path().equals(HELD_PATH)) {
                                         heldPoll.future()
                                                 .onSuccess(done -> request.response().end());
@@ -59,7 +69,7 @@
                         service -> healthPath,
                         budget,
                         EventLog.create(),
-                        new IgnoringListener());
+                        listener);
         monitor.start();
     }
 
@@ -113,8 +123,67 @@
         assertThat(monitor.state()).isEqualTo(TargetState.COLD);
     }
 
+    /**
+     * Guards against calls to a target of another service: a health check tells which process
+     * answers, but not its service, and addresses of ended targets are used again.
+     */
+    @Test
+    void onlyAnAnnouncementBringsAnotherProcessIntoService() throws Exception {
+        healthPath = IDENTIFIED_PATH;
+        monitor.onAnnouncement(announcement(false));
+        monitor.pollNow();
+        Waiting.until("its health check is read", () -> listener.loads.get() == 1);
+        assertThat(monitor.state()).isEqualTo(TargetState.WARM);
+
+        instance = "i-2";
+        monitor.pollNow();
+        Waiting.until("the target is out of service", () -> monitor.state() == TargetState.DOWN);
+        TimeUnit.MILLISECONDS.sleep(ANNOUNCEMENT_MILLIS);
+        assertThat(monitor.state()).isEqualTo(TargetState.DOWN);
+        assertThat(monitor.announcement().orElseThrow().instance()).contains("i-1");
+        assertThat(listener.loads.get()).as("loads of its own target").isEqualTo(1);
+
+        monitor.onAnnouncement(announcement("i-2", false));
+        assertThat(monitor.state()).isEqualTo(TargetState.WARM);
+    }
+
+    /**
+     * Guards against a late announcement of an ended target that keeps its successor in service.
+     */
+    @Test
+    void aLateAnnouncementDoesNotKeepAnotherProcessInService() throws Exception {
+        healthPath = IDENTIFIED_PATH;
+        instance = "i-2";
+        monitor.onAnnouncement(announcement(false));
+        monitor.onCallEnded(TargetResult.Kind.MISDIRECTED);
+        Waiting.until("the target is out of service", () -> monitor.state() == TargetState.DOWN);
+    }
+
     private TargetAnnouncement announcement(boolean draining) {
+        return announcement("i-1", draining);
+    }
+
+    private TargetAnnouncement announcement(String announced, boolean draining) {
         return new TargetAnnouncement(
-                "shop", address, 4, 9, 4, false, draining, Optional.of("i-1"), Optional.empty());
+                "shop",
+                address,
+                4,
+                9,
+                4,
+                false,
+                draining,
+                Optional.of(announced),
+                Optional.empty());
+    }
+
+    /** Counts the loads that are taken from health checks. */
+    private static final class LoadCounter extends IgnoringListener {
+
+        private final AtomicInteger loads = new AtomicInteger();
+
+        @Override
+        public void onLoad(ReportedLoad load) {
+            loads.incrementAndGet();
+        }
     }
 }
