--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -13,7 +13,6 @@
 import org.dogwoodwood.codec.log.LogStreams;
 import org.dogwoodwood.codec.wire.ControlFrame;
 import org.dogwoodwood.core.DogwoodwoodException;
-import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.core.membership.DataCentreOrders;
@@ -23,9 +22,7 @@
 import org.dogwoodwood.core.membership.Member;
 import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.membership.MembershipTable;
-import org.dogwoodwood.core.membership.OrderSnapshot;
 import org.dogwoodwood.core.membership.RegistrationList;
-import org.dogwoodwood.core.membership.SourceReaders;
 import org.dogwoodwood.core.membership.StableHash;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.core.routing.RoutingTable;
@@ -37,7 +34,7 @@
  * Connects the components of a control plane and holds the state that they share; used on the
  * control thread.
  */
-final class ControlState implements GossipExchanger.Listener, ConfigurationSource.Listener {
+final class ControlState implements GossipExchanger.Listener {
 
     private static final long MIN_PUBLISH_DELAY_MILLIS = 20;
     private static final long MAX_PUBLISH_DELAY_MILLIS = 500;
@@ -58,12 +55,12 @@
     private final PlatformLog log;
     private final MembershipTable table;
     private final DataCentreOrders orders = DataCentreOrders.create();
-    private final SourceReaders sourceReaders;
     private final GossipStrategy strategy;
     private final GossipExchanger exchanger;
     private final LogAppender appender;
     private final ConfigurationManager configurationManager;
     private final MembershipManager membership;
+    private final SourceFollower sourceFollower;
     private final ConfigurationSource configurationReader;
     private final LogReader membershipReader;
     private final RoutingTableBuilder routingTableBuilder;
@@ -94,20 +91,12 @@
         this.log = components.logFactory().apply(vertx);
         this.highestIncarnation = settings.incarnation();
         ControlTimings timings = components.timings();
-        Member self =
-                new Member(
-                        settings.node(),
-                        settings.incarnation(),
-                        1,
-                        Liveness.ALIVE,
-                        false,
-                        false,
-                        settings.address(),
-                        MemberTarget.none());
         this.table =
                 MembershipTable.create(
-                        self, timings.membership(), this::onMemberChanged, System.nanoTime());
-        this.sourceReaders = SourceReaders.of(table);
+                        joining(settings),
+                        timings.membership(),
+                        this::onMemberChanged,
+                        System.nanoTime());
         this.strategy = GossipStrategy.create(table, orders, random);
         this.exchanger =
                 new GossipExchanger(vertx, transport, settings, table, strategy, random, this);
@@ -133,10 +122,18 @@
                         this::onOrdersChanged,
                         random,
                         components.keyedCalls());
+        this.sourceFollower =
+                new SourceFollower(
+                        table,
+                        orders,
+                        strategy,
+                        configurationManager,
+                        this::onOrdersChanged,
+                        this::updateReadiness);
         this.configurationReader =
                 components
                         .configurationSourceFactory()
-                        .map(source -> source.apply(vertx, this))
+                        .map(source -> source.apply(vertx, sourceFollower))
                         .orElseGet(() -> createPublicationReader(random));
         this.membershipReader =
                 new LogReader(
@@ -144,6 +141,18 @@
         this.routingTableBuilder = new RoutingTableBuilder(table, orders, components.keyedCalls());
     }
 
+    private static Member joining(ControlSettings settings) {
+        return new Member(
+                settings.node(),
+                settings.incarnation(),
+                1,
+                Liveness.ALIVE,
+                false,
+                false,
+                settings.address(),
+                MemberTarget.none());
+    }
+
     private ConfigurationSource createPublicationReader(RandomGenerator random) {
         return new LogReader(
                 vertx,
@@ -243,25 +252,12 @@
     }
 
     JsonObject orderDataCentre(String dataCentre, JsonObject body) {
-        String stateName;
-        String orderId;
-        try {
-            stateName = body.getString("state", "");
-            orderId = body.getString("order_id", "");
-        } catch (ClassCastException e) {
-            throw malformedOrder();
-        }
-        boolean out = stateName.equals("out");
-        if ((!out && !stateName.equals("in")) || orderId.isBlank() || dataCentre.isBlank()) {
-            throw malformedOrder();
+        OrderRequest request = OrderRequest.parse(dataCentre, body);
+        if (configurationReader.holds(request.toOrder())) {
+            throw OrderRequest.reservedId(request.orderId());
         }
-        DataCentreOrder.State wanted = out ? DataCentreOrder.State.OUT : DataCentreOrder.State.IN;
-        if (configurationReader.holds(new DataCentreOrder(dataCentre, 0, wanted, orderId))) {
-            throw new DogwoodwoodException(
-                    ErrorCode.BAD_REQUEST,
-                    "The order_id \"" + orderId + "\" is reserved; choose another one.");
-        }
-        return ControlReport.toJson(membership.issueOrder(dataCentre, wanted, orderId));
+        return ControlReport.toJson(
+                membership.issueOrder(dataCentre, request.state(), request.orderId()));
     }
 
     Future<ControlFrame> handleFrame(ControlFrame frame) {
@@ -279,38 +275,6 @@
         }
     }
 
-    @Override
-    public void onConfiguration(long version, String document) {
-        configurationManager.onExternalPublication(version, document);
-    }
-
-    @Override
-    public void onOrder(DataCentreOrder order) {
-        if (orders.merge(order)) {
-            strategy.onOrderChanged(order.dataCentre());
-            onOrdersChanged(OrderOrigin.OPERATORS);
-        }
-    }
-
-    @Override
-    public void onOrders(OrderSnapshot snapshot) {
-        List<String> changed = orders.merge(snapshot);
-        changed.forEach(strategy::onOrderChanged);
-        if (!changed.isEmpty()) {
-            onOrdersChanged(OrderOrigin.OPERATORS);
-        }
-    }
-
-    @Override
-    public boolean readsForOthers() {
-        return sourceReaders.includesSelf();
-    }
-
-    @Override
-    public void onRead() {
-        updateReadiness();
-    }
-
     @Override
     public void onMessage(GossipMessage message) {
         crashEvidence.merge(message.crashReports(), System.nanoTime());
@@ -331,7 +295,7 @@
         long nowMillis = System.currentTimeMillis();
         membership.ownRegistration().announceIfDue(nowMillis);
         if (components.configurationSourceFactory().isPresent()) {
-            announceSourceState();
+            sourceFollower.onRound(configurationReader);
         }
         roundCount++;
         if (roundCount % ROUNDS_PER_MAINTENANCE == 0) {
@@ -344,14 +308,6 @@
         schedulePublish();
     }
 
-    private void announceSourceState() {
-        boolean reachable = configurationReader.isReachable();
-        if (table.self().readsSource() != reachable) {
-            table.updateSelf(table.self().withReadsSource(reachable), System.nanoTime());
-        }
-        configurationReader.onMembersChanged();
-    }
-
     private void onMemberChanged(Member member) {
         if (member.node().equals(settings.node()) && member.incarnation() > highestIncarnation) {
             highestIncarnation = member.incarnation();
@@ -442,12 +398,6 @@
         schedulePublish();
     }
 
-    private static DogwoodwoodException malformedOrder() {
-        return new DogwoodwoodException(
-                ErrorCode.BAD_REQUEST,
-                "An order needs a data centre, state \"out\" or \"in\", and an order_id.");
-    }
-
     /**
      * Returns this node's rank for a subject by rendezvous hashing over present members, from 0.
      */
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
@@ -66,4 +66,18 @@
                 Optional.empty(),
                 Optional.empty());
     }
+
+    /** Returns whether another process than that of an earlier announcement announced this one. */
+    boolean isOtherProcessThan(TargetAnnouncement earlier) {
+        return earlier.isOtherProcess(instance) || differ(startedAtMillis, earlier.startedAtMillis);
+    }
+
+    /** Returns whether a name is known to be that of another process. */
+    boolean isOtherProcess(Optional<String> name) {
+        return differ(name, instance);
+    }
+
+    private static <T> boolean differ(Optional<T> one, Optional<T> other) {
+        return one.isPresent() && other.isPresent() && !one.equals(other);
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -100,7 +100,7 @@
                 announcement != null
                         && announcement.address().equals(next.address())
                         && announcement.connections() == next.connections();
-        boolean restarted = isRestart(next);
+        boolean restarted = announcement != null && next.isOtherProcessThan(announcement);
         boolean changed = !next.equals(announcement);
         announcement = next;
         replaced = false;
@@ -155,16 +155,6 @@
         setColdAndDraining(next.cold(), next.draining());
     }
 
-    private boolean isRestart(TargetAnnouncement next) {
-        return announcement != null
-                && (differ(next.instance(), announcement.instance())
-                        || differ(next.startedAtMillis(), announcement.startedAtMillis()));
-    }
-
-    private static <T> boolean differ(Optional<T> one, Optional<T> other) {
-        return one.isPresent() && other.isPresent() && !one.equals(other);
-    }
-
     private void onRestarted() {
         log.write(LogEvent.TARGET_CRASHED, "address", announcement.address());
         goDown();
@@ -323,7 +313,7 @@
      */
     private boolean isOtherProcess(PollResult pollResult) {
         return protocol.announcementProvesLiveness()
-                && differ(pollResult.incarnation(), announcement.instance());
+                && announcement.isOtherProcess(pollResult.incarnation());
     }
 
     private void onReplaced(String found) {
