Be prepared for SIGTERM before the ports open

Cause, by reading and a test: the shutdown hook was added after the node had opened its ports, when the main thread had been woken. A SIGTERM in between ended the process at once.

Change: the hook is added before the start; it waits for the start to complete, and then stops the node gracefully. A node that has not started is not stopped.

Test: NodeProcessTests failed before, as the port was open when the hook was added.

--- a/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
+++ b/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
@@ -3,9 +3,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
 import org.dogwoodwood.node.settings.NodeSettings;
@@ -42,39 +45,63 @@
     }
 
     /**
-     * Starts a node and registers a shutdown hook, so that SIGTERM stops it gracefully.
+     * Starts a node that SIGTERM stops gracefully, at any time from now on.
      *
      * @return whether the node accepts requests; if not, the reason has been logged and Vert.x
      *     closed
      */
     public static boolean start(Vertx vertx, Node node, NodeSettings settings, EventLog log) {
+        return start(vertx, node, settings, log, Runtime.getRuntime()::addShutdownHook);
+    }
+
+    /**
+     * Starts a node.
+     *
+     * @param signals registers a thread that runs when the process is told to end
+     */
+    static boolean start(
+            Vertx vertx, Node node, NodeSettings settings, EventLog log, Consumer<Thread> signals) {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        // Before the ports open: without a hook, SIGTERM ends the process at once, and with it the
+        // requests that it has read.
+        signals.accept(new Thread(() -> stop(node, started, log, stopSeconds(settings))));
+        node.start().onSuccess(started::complete).onFailure(started::completeExceptionally);
         try {
-            node.start()
-                    .toCompletionStage()
-                    .toCompletableFuture()
-                    .get(START_SECONDS, TimeUnit.SECONDS);
+            started.get(START_SECONDS, TimeUnit.SECONDS);
+            return true;
         } catch (ExecutionException | TimeoutException | InterruptedException e) {
+            started.completeExceptionally(e);
             Throwable cause = e instanceof ExecutionException ? e.getCause() : e;
             log.write(LogEvent.NODE_FAILED, "message", String.valueOf(cause));
             log.flush();
             vertx.close();
             return false;
         }
-        int limitSeconds =
-                settings.budgets().stopSeconds()
-                        + settings.budgets().leaveMillis() / MILLIS_PER_SECOND
-                        + STOP_MARGIN_SECONDS;
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, log, limitSeconds)));
-        return true;
     }
 
-    private static void stop(Node node, EventLog log, int limitSeconds) {
+    private static int stopSeconds(NodeSettings settings) {
+        return settings.budgets().stopSeconds()
+                + settings.budgets().leaveMillis() / MILLIS_PER_SECOND
+                + STOP_MARGIN_SECONDS;
+    }
+
+    /** Stops a node once it has started; does nothing if it has not started. */
+    private static void stop(
+            Node node, CompletableFuture<Void> started, EventLog log, int limitSeconds) {
+        try {
+            started.get(START_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException | InterruptedException e) {
+            return;
+        }
         try {
             node.stop()
                     .toCompletionStage()
                     .toCompletableFuture()
                     .get(limitSeconds, TimeUnit.SECONDS);
-        } catch (ExecutionException | TimeoutException | InterruptedException e) {
+        } catch (ExecutionException
+                | TimeoutException
+                | InterruptedException
+                | RejectedExecutionException e) {
             log.write(LogEvent.NODE_FAILED, "message", "The graceful stop failed: " + e);
         }
         log.flush();
