Let only settled members read the operators' records often

When all nodes start together, each knows only itself at first and would read for all others. A member now counts itself after it has been able to read the source for 3 s, when gossip has told the members of each other; SourceReadersTests.

--- a/core/src/main/java/org/dogwoodwood/core/membership/SourceReaders.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/SourceReaders.java
@@ -20,11 +20,18 @@
     /** How many members are chosen, in as many data centres; one covers the loss of the other. */
     static final int COUNT = 2;
 
+    /**
+     * How long the own node has been able to read the source before it counts itself, in
+     * nanoseconds. When all nodes start together, each knows the others by then.
+     */
+    static final long SETTLE_NANOS = 3_000_000_000L;
+
     private static final long SUBJECT_HASH = StableHash.of("source-readers");
 
     private final MembershipTable table;
     private long decidedChangeCount = -1;
-    private boolean includesSelf;
+    private boolean chosen;
+    private Optional<Long> readableSinceNanos = Optional.empty();
 
     private SourceReaders(MembershipTable table) {
         this.table = table;
@@ -35,20 +42,35 @@
         return new SourceReaders(table);
     }
 
-    /** Returns whether the own node of the table is one of the chosen members. */
-    public boolean includesSelf() {
+    /**
+     * Returns whether the own node of the table is one of the chosen members.
+     *
+     * @param nowNanos the current time in nanoseconds
+     */
+    public boolean includesSelf(long nowNanos) {
+        if (!table.self().readsSource()) {
+            readableSinceNanos = Optional.empty();
+            return false;
+        }
+        if (readableSinceNanos.isEmpty()) {
+            readableSinceNanos = Optional.of(nowNanos);
+        }
+        boolean settled = nowNanos - readableSinceNanos.get() >= SETTLE_NANOS;
+        return settled && isChosen();
+    }
+
+    private boolean isChosen() {
         if (decidedChangeCount != table.changeCount()) {
             decidedChangeCount = table.changeCount();
-            includesSelf = decide();
+            chosen = decide();
         }
-        return includesSelf;
+        return chosen;
     }
 
     private boolean decide() {
         Member self = table.self();
         String ownDataCentre = self.address().dataCentre();
-        return self.readsSource()
-                && dataCentres().contains(ownDataCentre)
+        return dataCentres().contains(ownDataCentre)
                 && best(candidates(ownDataCentre)).equals(Optional.of(self));
     }
 
--- a/core/src/test/java/org/dogwoodwood/core/membership/SourceReadersTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/membership/SourceReadersTests.java
@@ -44,6 +44,16 @@
         assertThat(readers(members)).containsExactly(only);
     }
 
+    /** Guards against frequent reads of all members that have started together. */
+    @Test
+    void aMemberThatKnowsNoOtherYetDoesNotReadForAll() {
+        Member started = members(1, true).get(0);
+        SourceReaders readers = SourceReaders.of(tableOf(started, List.of()));
+        assertThat(readers.includesSelf(0)).isFalse();
+        assertThat(readers.includesSelf(SourceReaders.SETTLE_NANOS - 1)).isFalse();
+        assertThat(readers.includesSelf(SourceReaders.SETTLE_NANOS)).isTrue();
+    }
+
     /** Returns the members that choose themselves, each from a table of its own. */
     private static List<Member> readers(List<Member> members) {
         return readers(members, members);
@@ -51,10 +61,15 @@
 
     private static List<Member> readers(List<Member> observers, List<Member> known) {
         return observers.stream()
-                .filter(observer -> SourceReaders.of(tableOf(observer, known)).includesSelf())
+                .filter(observer -> includesSelf(SourceReaders.of(tableOf(observer, known))))
                 .toList();
     }
 
+    private static boolean includesSelf(SourceReaders readers) {
+        readers.includesSelf(0);
+        return readers.includesSelf(SourceReaders.SETTLE_NANOS);
+    }
+
     private static MembershipTable tableOf(Member self, List<Member> members) {
         MembershipTable table =
                 MembershipTable.create(self, MembershipTimings.defaults(), changed -> {}, 0);
--- a/node/src/main/java/org/dogwoodwood/node/control/SourceFollower.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/SourceFollower.java
@@ -74,7 +74,7 @@
 
     @Override
     public boolean readsForOthers() {
-        return sourceReaders.includesSelf();
+        return sourceReaders.includesSelf(System.nanoTime());
     }
 
     /** Announces whether the source can be read, and tells the source that members may differ. */
