--- a/node/src/test/java/org/dogwoodwood/node/NodeProcessTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/NodeProcessTests.java
@@ -94,7 +94,7 @@
     }
 
     private static Endpoint freeEndpoint() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return Endpoint.of(ADDRESS, socket.getLocalPort());
         }
     }
