Log which request and connection an unusable answer came to, and whose attempt a caller's answer is

TARGET_ANSWER_UNUSABLE now names the request and the connection; an answer that belongs to another request has an event of its own (312) with its id and status, and a counter. CALL_ANSWERED names the attempt and the target whose answer the caller got, and is written for each call that was sent to more than one target.

--- a/node/src/main/java/org/dogwoodwood/node/guard/DefaultTargetProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/DefaultTargetProtocol.java
@@ -33,6 +33,11 @@
         return Optional.empty();
     }
 
+    @Override
+    public Optional<String> answeredRequestId(MultiMap headers) {
+        return Optional.empty();
+    }
+
     @Override
     public ResponseType classify(CallFrame frame, int status, MultiMap headers) {
         return ResponseType.ANSWER;
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -93,6 +93,7 @@
                         serviceSettings::healthPath,
                         budget,
                         log,
+                        metrics,
                         new TargetListener());
         this.speedWatch = new SpeedWatch(vertx, monitor, admission::get);
         this.loadReporter = new LoadReporter(identity, monitor, admission);
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
@@ -15,8 +15,8 @@
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.node.http.BoundedHttpClient;
 import org.dogwoodwood.node.logging.EventLog;
-import org.dogwoodwood.node.logging.LogEvent;
 import org.dogwoodwood.node.loop.ReadFirstQueue;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.settings.Endpoint;
 
 /**
@@ -43,7 +43,7 @@
     private final Vertx vertx;
     private final TargetProtocol protocol;
     private final Endpoint address;
-    private final EventLog log;
+    private final TargetAnswerLog answerLog;
     private final HttpClient callClient;
     private final HttpClient repeatClient;
     private final BoundedHttpClient pollClient;
@@ -51,11 +51,15 @@
     private final SentRequests sentRequests = SentRequests.create();
 
     private TargetClient(
-            Vertx vertx, TargetProtocol protocol, Endpoint address, int connections, EventLog log) {
+            Vertx vertx,
+            TargetProtocol protocol,
+            Endpoint address,
+            int connections,
+            TargetAnswerLog answerLog) {
         this.vertx = vertx;
         this.protocol = protocol;
         this.address = address;
-        this.log = log;
+        this.answerLog = answerLog;
         int repeatConnections = repeatConnections(connections);
         int callConnections = callConnections(connections);
         this.callClient =
@@ -70,8 +74,14 @@
     }
 
     static TargetClient create(
-            Vertx vertx, TargetProtocol protocol, Endpoint address, int connections, EventLog log) {
-        return new TargetClient(vertx, protocol, address, connections, log);
+            Vertx vertx,
+            TargetProtocol protocol,
+            Endpoint address,
+            int connections,
+            EventLog log,
+            NodeMetrics metrics) {
+        TargetAnswerLog answerLog = new TargetAnswerLog(address, log, metrics);
+        return new TargetClient(vertx, protocol, address, connections, answerLog);
     }
 
     /**
@@ -94,6 +104,7 @@
             int maxAnswerBytes,
             long timeoutMillis,
             Consumer<TargetResult> listener) {
+        String requestId = requestId(frame);
         TargetExchange exchange =
                 new TargetExchange(
                         vertx,
@@ -102,9 +113,10 @@
                         frame,
                         extraHeaders,
                         maxAnswerBytes,
-                        this::onFault,
+                        requestId,
+                        answerLog,
                         listener);
-        boolean repeated = sentRequests.add(requestId(frame), timeoutMillis, System.nanoTime());
+        boolean repeated = sentRequests.add(requestId, timeoutMillis, System.nanoTime());
         HttpClient client = repeated ? repeatClient : callClient;
         exchange.start(client, requestOptions(), timeoutMillis);
         return exchange;
@@ -136,14 +148,10 @@
 
     private void onFailedPoll(Throwable failure) {
         if (!(failure instanceof ConnectException)) {
-            onFault("Poll failed: " + failure + ".");
+            answerLog.onFailedPoll(failure);
         }
     }
 
-    private void onFault(String reason) {
-        log.write(LogEvent.TARGET_ANSWER_UNUSABLE, "address", address, "reason", reason);
-    }
-
     private RequestOptions requestOptions() {
         return new RequestOptions().setHost(address.host()).setPort(address.port());
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -42,7 +42,8 @@
     private final RequestContent requestContent;
     private final List<HeaderField> extraHeaders;
     private final int maxAnswerBytes;
-    private final Consumer<String> faultListener;
+    private final String requestId;
+    private final TargetAnswerLog answerLog;
     private final Consumer<TargetResult> listener;
     private final Buffer answerBody = Buffer.buffer();
     private HttpClientRequest request;
@@ -55,7 +56,8 @@
     /**
      * Creates an exchange that is not started.
      *
-     * @param faultListener receives the reason why an answer is unusable
+     * @param requestId the id of the request, for the log
+     * @param answerLog logs the answers that cannot be used
      * @param listener receives the result of the exchange
      */
     TargetExchange(
@@ -65,7 +67,8 @@
             CallFrame frame,
             List<HeaderField> extraHeaders,
             int maxAnswerBytes,
-            Consumer<String> faultListener,
+            String requestId,
+            TargetAnswerLog answerLog,
             Consumer<TargetResult> listener) {
         this.vertx = vertx;
         this.startQueue = startQueue;
@@ -74,7 +77,8 @@
         this.requestContent = frame.request();
         this.extraHeaders = extraHeaders;
         this.maxAnswerBytes = maxAnswerBytes;
-        this.faultListener = faultListener;
+        this.requestId = requestId;
+        this.answerLog = answerLog;
         this.listener = listener;
     }
 
@@ -192,11 +196,7 @@
                 protocol.classify(frame, response.statusCode(), response.headers());
         if (responseType == TargetProtocol.ResponseType.FOREIGN
                 || InterimResponses.isInterim(response.statusCode())) {
-            // The answer to this call may follow, but the connection can no longer be trusted to
-            // match responses to calls.
-            faultListener.accept(
-                    "The response belongs to another call or does not come from the target.");
-            endAndReset(TargetResult.broken());
+            onForeign();
             return;
         }
         if (responseType == TargetProtocol.ResponseType.NOT_RUN) {
@@ -210,6 +210,19 @@
         response.endHandler(ignored -> end(refusal.orElseGet(this::answered)));
     }
 
+    /**
+     * Closes the connection: the answer to this call may follow, but the connection can no longer
+     * be trusted to match responses to calls.
+     */
+    private void onForeign() {
+        answerLog.onForeign(
+                requestId,
+                request.connection(),
+                response.statusCode(),
+                protocol.answeredRequestId(response.headers()).orElse(""));
+        endAndReset(TargetResult.broken());
+    }
+
     /** Limits the wait for the body, since the head of a refusal already decides the result. */
     private void onRefusal(TargetResult result) {
         refusal = Optional.of(result);
@@ -222,7 +235,7 @@
         }
         int limit = refusal.isPresent() ? MAX_REFUSAL_BODY_BYTES : maxAnswerBytes;
         if (answerBody.length() + chunk.length() > limit) {
-            faultListener.accept("The body of the answer is larger than " + limit + " bytes.");
+            logUnusable("The body of the answer is larger than " + limit + " bytes.");
             abort(FinishedCall.unknown(ErrorCode.ANSWER_TOO_LARGE));
         } else {
             answerBody.appendBuffer(chunk);
@@ -231,20 +244,22 @@
 
     private void onIngressLost() {
         if (response != null && !ended) {
-            faultListener.accept(
-                    "The body of the answer is incomplete at the deadline of the call.");
+            logUnusable("The body of the answer is incomplete at the deadline of the call.");
         }
         abort(FinishedCall.unknown(ErrorCode.DEADLINE_EXCEEDED));
     }
 
     private void onBroken(Throwable failure) {
         if (!ended) {
-            faultListener.accept(
-                    "The connection broke or the answer is invalid HTTP: " + failure + ".");
+            logUnusable("The connection broke or the answer is invalid HTTP: " + failure + ".");
         }
         endAndReset(TargetResult.broken());
     }
 
+    private void logUnusable(String reason) {
+        answerLog.onUnusable(requestId, request.connection(), reason);
+    }
+
     private TargetResult answered() {
         boolean head = requestContent.method().equals("HEAD");
         List<HeaderField> headers = Headers.endToEnd(response.headers(), head);
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -11,6 +11,7 @@
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 
 /**
  * Monitors the target beside this node by polls within a budget and by the results of calls. Must
@@ -51,6 +52,7 @@
     private final UnaryOperator<String> healthPathOf;
     private final MeasurementBudget budget;
     private final EventLog log;
+    private final NodeMetrics metrics;
     private final Listener listener;
     private TargetAnnouncement announcement;
     // The result of a poll that began before the last change is stale and is ignored.
@@ -78,12 +80,14 @@
             UnaryOperator<String> healthPathOf,
             MeasurementBudget budget,
             EventLog log,
+            NodeMetrics metrics,
             Listener listener) {
         this.vertx = vertx;
         this.protocol = protocol;
         this.healthPathOf = healthPathOf;
         this.budget = budget;
         this.log = log;
+        this.metrics = metrics;
         this.listener = listener;
     }
 
@@ -109,7 +113,9 @@
             if (client != null) {
                 client.close();
             }
-            client = TargetClient.create(vertx, protocol, next.address(), next.connections(), log);
+            client =
+                    TargetClient.create(
+                            vertx, protocol, next.address(), next.connections(), log, metrics);
             reportedIncarnation = Optional.empty();
             reportsSpeed = false;
             pollPathIndex = 0;
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetProtocol.java
@@ -33,6 +33,9 @@
     /** Returns the request id that the caller assigned, or empty if it assigned none. */
     Optional<String> requestIdOf(CallFrame frame);
 
+    /** Returns the id of the request that a response names, or empty if it names none. */
+    Optional<String> answeredRequestId(MultiMap headers);
+
     /**
      * Classifies a response by its head.
      *
--- a/node/src/main/java/org/dogwoodwood/node/ingress/CallLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/CallLog.java
@@ -72,33 +72,45 @@
                 ageMillis());
     }
 
-    /** Logs the result of the call; of ordinary answers, only a sample is logged. */
-    void onEnded(FinishedCall result, int attempts, int targets) {
-        if (result.error().isPresent()) {
-            onEndedWithoutAnswer(result, attempts, targets);
-            return;
-        }
-        int status = result.answer().orElseThrow().status();
+    /**
+     * Logs the answer of a target to the call; of ordinary answers, only a sample is logged.
+     *
+     * @param status the HTTP status of the answer
+     * @param attempt the number of the attempt that was answered
+     * @param target the node of the target that answered, not null
+     * @param attempts the number of attempts made
+     * @param sent the number of attempts that may have reached a target
+     */
+    void onAnswered(int status, int attempt, NodeId target, int attempts, int sent) {
         boolean late = ageMillis() > request.parameters().timeoutMillis() / 2;
-        if (status >= SERVER_ERROR || late || id.counter() % SAMPLE_INTERVAL == 0) {
-            log.write(
-                    LogEvent.CALL_ANSWERED,
-                    "request",
-                    requestId(),
-                    "service",
-                    service,
-                    "class",
-                    request.callClass(),
-                    "status",
-                    status,
-                    "attempts",
-                    attempts,
-                    "age_ms",
-                    ageMillis());
+        boolean sample = id.counter() % SAMPLE_INTERVAL == 0;
+        if (status < SERVER_ERROR && !late && sent <= 1 && !sample) {
+            return;
         }
+        log.write(
+                LogEvent.CALL_ANSWERED,
+                "request",
+                requestId(),
+                "service",
+                service,
+                "class",
+                request.callClass(),
+                "status",
+                status,
+                "attempt",
+                attempt,
+                "target",
+                target,
+                "attempts",
+                attempts,
+                "sent",
+                sent,
+                "age_ms",
+                ageMillis());
     }
 
-    private void onEndedWithoutAnswer(FinishedCall result, int attempts, int targets) {
+    /** Logs that the call ended without an answer of a target. */
+    void onEndedWithoutAnswer(FinishedCall result, int attempts, int targets) {
         boolean refused = result.outcome() == Outcome.NOT_RUN;
         log.write(
                 refused ? LogEvent.CALL_REFUSED : LogEvent.CALL_FAILED,
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -225,6 +225,7 @@
             if (attemptResultOf(finished) == AttemptResult.SUCCEEDED) {
                 state.onSuccess(latencyNanos);
             }
+            logAnswered(attempt, finished);
             end(finished);
             return;
         }
@@ -247,6 +248,12 @@
         }
     }
 
+    private void logAnswered(OpenAttempt attempt, FinishedCall finished) {
+        int status = finished.answer().orElseThrow().status();
+        int sent = targetsReached + openAttempts.size() + 1;
+        log.onAnswered(status, attempt.id().attempt(), attempt.target().node(), attemptsMade, sent);
+    }
+
     private void retryOrEnd(OpenAttempt attempt, FinishedCall finished, long nowNanos) {
         boolean retry =
                 mayReachAnotherTarget()
@@ -363,7 +370,9 @@
         cancelOpenAttempts(AttemptResult.CANCELLED);
         boolean definite = finished.answer().isPresent() || unknownResult.isEmpty();
         FinishedCall result = definite ? finished : unknownResult.get();
-        log.onEnded(result, attemptsMade, state.candidateCount());
+        if (result.error().isPresent()) {
+            log.onEndedWithoutAnswer(result, attemptsMade, state.candidateCount());
+        }
         listener.accept(result);
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -38,6 +38,8 @@
             311,
             Severity.WARNING,
             "Another process answers at the address of the target, which is out of service."),
+    TARGET_ANSWER_FOREIGN(
+            312, Severity.WARNING, "An answer came that is not the one to the waiting request."),
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
@@ -47,7 +49,10 @@
     CALL_HEDGED(453, Severity.INFO, "A call also goes to a second target."),
     CALL_FAILED(454, Severity.INFO, "A call ended without an answer of a target."),
     CALL_CANCELLED(455, Severity.INFO, "A caller left before its answer."),
-    CALL_ANSWERED(456, Severity.INFO, "A call was answered late or with an error, or is a sample."),
+    CALL_ANSWERED(
+            456,
+            Severity.INFO,
+            "A call was answered late, with an error or after several attempts, or is a sample."),
     GUARD_REFUSED(457, Severity.INFO, "The guard refused an attempt, which was not run."),
     GUARD_ENDED(458, Severity.INFO, "An attempt at the target ended without an answer."),
     GUARD_ANSWERED(459, Severity.INFO, "The target answered late or with an error."),
--- a/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
@@ -31,6 +31,7 @@
     private final Counter cancelled = counter("dogwoodwood_cancelled_calls_total");
     private final Counter lateAnswers = counter("dogwoodwood_late_answers_total");
     private final Counter targetCalls = counter("dogwoodwood_target_calls_total");
+    private final Counter foreignAnswers = counter("dogwoodwood_foreign_answers_total");
 
     private NodeMetrics() {}
 
@@ -84,6 +85,11 @@
         targetCalls.inc();
     }
 
+    /** Counts an answer of the target that is not the one to the request that waits for it. */
+    public void onForeignAnswer() {
+        foreignAnswers.inc();
+    }
+
     /**
      * Records the times of an attempt that has ended at the target, whatever its result.
      *
--- a/node/src/test/java/org/dogwoodwood/node/guard/EndlessAnswerTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/EndlessAnswerTests.java
@@ -20,6 +20,7 @@
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.Outcome;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.support.Waiting;
 import org.dogwoodwood.standins.endless.EndlessServer;
@@ -192,7 +193,8 @@
                         new SelfAnnouncingProtocol(),
                         Endpoint.of("127.0.0.1", server.port()),
                         5,
-                        EventLog.create());
+                        EventLog.create(),
+                        NodeMetrics.create());
         // The first call of a process may exceed its deadline on a busy machine.
         Waiting.get(Future.fromCompletionStage(send("/sound")));
     }
--- a/node/src/test/java/org/dogwoodwood/node/guard/RepeatedAttemptTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/RepeatedAttemptTests.java
@@ -19,6 +19,7 @@
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.support.Waiting;
 import org.junit.jupiter.api.AfterEach;
@@ -75,7 +76,8 @@
                         new IdentifyingProtocol(),
                         Endpoint.of("127.0.0.1", port),
                         CONNECTIONS,
-                        EventLog.create());
+                        EventLog.create(),
+                        NodeMetrics.create());
 
         assertThat(send(client, "call-1", 0).kind()).isEqualTo(first.kind);
         TargetResult second = send(client, "call-1", 1);
--- a/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
@@ -26,6 +26,11 @@
         return defaultProtocol.requestIdOf(frame);
     }
 
+    @Override
+    public Optional<String> answeredRequestId(MultiMap headers) {
+        return Optional.empty();
+    }
+
     @Override
     public ResponseType classify(CallFrame frame, int status, MultiMap headers) {
         String responseType = headers.get(RESPONSE_TYPE);
--- a/node/src/test/java/org/dogwoodwood/node/guard/SpeedWatchTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SpeedWatchTests.java
@@ -19,6 +19,7 @@
 import org.dogwoodwood.core.model.CallId;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.support.Waiting;
 import org.junit.jupiter.api.AfterEach;
@@ -63,6 +64,7 @@
                         service -> "/health",
                         MeasurementBudget.of(1_000, 0, System.nanoTime()),
                         EventLog.create(),
+                        NodeMetrics.create(),
                         new SlowdownListener());
         watch = new SpeedWatch(vertx, monitor, () -> admission);
         monitor.onAnnouncement(
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetClientTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetClientTests.java
@@ -13,6 +13,7 @@
 import org.dogwoodwood.core.model.CallId;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.support.Waiting;
 import org.junit.jupiter.api.AfterEach;
@@ -52,7 +53,8 @@
                 new SelfAnnouncingProtocol(),
                 Endpoint.of("127.0.0.1", port),
                 9,
-                EventLog.create());
+                EventLog.create(),
+                NodeMetrics.create());
     }
 
     private TargetResult send(TargetClient client, int number) {
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
@@ -11,6 +11,7 @@
 import org.dogwoodwood.core.measurement.MeasurementBudget;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.support.Waiting;
 import org.junit.jupiter.api.AfterEach;
@@ -69,6 +70,7 @@
                         service -> healthPath,
                         budget,
                         EventLog.create(),
+                        NodeMetrics.create(),
                         listener);
         monitor.start();
     }
