Send a request to a target at most once

All attempts of a call have the id of the caller's request, and the guard matches answers by that id alone. When all other targets refused, an idempotent call went to the same target again, and a late copy of the answer to the first attempt, on whatever connection it came, was taken for the answer to the second one. A connection of its own for the second attempt covers only copies on the connection of the first one.

Now the ingress does not choose a target that may have got the call already, and the guard refuses to send an id twice, whichever call it came with (REQUEST_REPEATED, 3005, outcome unknown). An id then belongs to one run of the target, so any copy with that id is the answer to that run. If no other target is left, the caller gets the refusal or failure at once, before the retry budget is spent.

--- a/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
+++ b/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
@@ -41,6 +41,7 @@
     DEADLINE_EXCEEDED(3002, 504, Outcome.UNKNOWN, "Find out whether the request took effect."),
     ANSWER_TOO_LARGE(3003, 502, Outcome.UNKNOWN, "Raise max_answer_bytes of the service."),
     TARGET_FAILED(3004, 502, Outcome.UNKNOWN, "Find out whether the request took effect."),
+    REQUEST_REPEATED(3005, 502, Outcome.UNKNOWN, "Send the request again with a new request id."),
 
     CONFIGURATION_SYNTAX(4001, 400, Outcome.NOT_RUN, "Correct the TOML at the given line."),
     UNKNOWN_KEY(4002, 400, Outcome.NOT_RUN, "Remove the key or correct its spelling."),
--- a/node/src/main/java/org/dogwoodwood/node/guard/SentRequests.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/SentRequests.java
@@ -5,15 +5,17 @@
 import java.util.Map;
 
 /**
- * Tells which requests have been sent to a target before, until their deadline. Not thread-safe.
+ * Remembers which requests have been sent to the target, until their deadline, so that each is sent
+ * to it once. Not thread-safe.
  *
- * <p>The attempts of a call have the same request id. A target may send an answer to one of them
- * again, late; on the same connection, it cannot be told from the answer to the next one.
+ * <p>A target may send an answer again, late, on whatever connection. Answers are matched with
+ * requests by the request id, which all attempts of a call have in common. After a second attempt,
+ * a copy of the first answer could therefore not be told from the second one.
  */
 final class SentRequests {
 
-    /** The largest number of remembered requests; above it, each request counts as repeated. */
-    static final int MAX_REQUESTS = 10_000;
+    /** The largest number of remembered requests; above it, the oldest are forgotten. */
+    static final int MAX_REQUESTS = 20_000;
 
     // An ingress repeats a call until its deadline, by a clock that may lag a little.
     private static final long RETENTION_AFTER_DEADLINE_MILLIS = 1_000;
@@ -29,22 +31,22 @@
     }
 
     /**
-     * Records that a request is sent.
+     * Records that a request is sent, unless it has been sent before.
      *
      * @param id the request id, not null
      * @param timeoutMillis the time until the deadline of the call, in milliseconds
      * @param nowNanos the current time in nanoseconds
-     * @return whether it may have been sent before
+     * @return whether it may be sent
      */
-    boolean add(String id, long timeoutMillis, long nowNanos) {
+    boolean addIfNew(String id, long timeoutMillis, long nowNanos) {
         removeExpired(nowNanos);
-        boolean known = expiryNanosById.containsKey(id);
-        if (!known && expiryNanosById.size() >= MAX_REQUESTS) {
-            return true;
-        }
         long retentionMillis = timeoutMillis + RETENTION_AFTER_DEADLINE_MILLIS;
-        expiryNanosById.put(id, nowNanos + retentionMillis * NANOS_PER_MILLI);
-        return known;
+        long expiryNanos = nowNanos + retentionMillis * NANOS_PER_MILLI;
+        boolean isNew = expiryNanosById.putIfAbsent(id, expiryNanos) == null;
+        if (expiryNanosById.size() > MAX_REQUESTS) {
+            removeOldest();
+        }
+        return isNew;
     }
 
     // Removes only from the oldest entry on, which bounds the work; later ones follow with it.
@@ -54,4 +56,10 @@
             expiries.remove();
         }
     }
+
+    private void removeOldest() {
+        Iterator<Long> expiries = expiryNanosById.values().iterator();
+        expiries.next();
+        expiries.remove();
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
@@ -22,8 +22,7 @@
 /**
  * HTTP client of one target, with a connection pool for calls and one connection for polls.
  *
- * <p>A further attempt of a call at the same target gets a connection of its own, on which no
- * answer to an earlier attempt can arrive.
+ * <p>Each request is sent once; see {@link SentRequests}.
  */
 final class TargetClient {
 
@@ -37,38 +36,31 @@
 
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
-    // The part of the target's connections that further attempts may use.
-    private static final int CONNECTIONS_PER_REPEAT_CONNECTION = 8;
-
     private final Vertx vertx;
     private final TargetProtocol protocol;
     private final Endpoint address;
     private final TargetAnswerLog answerLog;
     private final HttpClient callClient;
-    private final HttpClient repeatClient;
     private final BoundedHttpClient pollClient;
     private final ReadFirstQueue startQueue;
-    private final SentRequests sentRequests = SentRequests.create();
+    private final SentRequests sentRequests;
 
     private TargetClient(
             Vertx vertx,
             TargetProtocol protocol,
             Endpoint address,
             int connections,
+            SentRequests sentRequests,
             TargetAnswerLog answerLog) {
         this.vertx = vertx;
         this.protocol = protocol;
         this.address = address;
+        this.sentRequests = sentRequests;
         this.answerLog = answerLog;
-        int repeatConnections = repeatConnections(connections);
         int callConnections = callConnections(connections);
         this.callClient =
                 vertx.createHttpClient(
                         options(), new PoolOptions().setHttp1MaxSize(callConnections));
-        this.repeatClient =
-                vertx.createHttpClient(
-                        options().setKeepAlive(false),
-                        new PoolOptions().setHttp1MaxSize(repeatConnections));
         this.pollClient = BoundedHttpClient.create(vertx, options(), 1, MAX_POLL_BYTES);
         this.startQueue = ReadFirstQueue.create(vertx);
     }
@@ -78,10 +70,11 @@
             TargetProtocol protocol,
             Endpoint address,
             int connections,
+            SentRequests sentRequests,
             EventLog log,
             NodeMetrics metrics) {
         TargetAnswerLog answerLog = new TargetAnswerLog(address, log, metrics);
-        return new TargetClient(vertx, protocol, address, connections, answerLog);
+        return new TargetClient(vertx, protocol, address, connections, sentRequests, answerLog);
     }
 
     /**
@@ -91,11 +84,7 @@
      */
     static int callConnections(int connections) {
         // One of the target's connections is reserved for polls.
-        return Math.max(1, connections - 1 - repeatConnections(connections));
-    }
-
-    private static int repeatConnections(int connections) {
-        return Math.max(1, connections / CONNECTIONS_PER_REPEAT_CONNECTION);
+        return Math.max(1, connections - 1);
     }
 
     TargetExchange send(
@@ -114,11 +103,10 @@
                         extraHeaders,
                         maxAnswerBytes,
                         requestId,
+                        sentRequests,
                         answerLog,
                         listener);
-        boolean repeated = sentRequests.add(requestId, timeoutMillis, System.nanoTime());
-        HttpClient client = repeated ? repeatClient : callClient;
-        exchange.start(client, requestOptions(), timeoutMillis);
+        exchange.start(callClient, requestOptions(), timeoutMillis);
         return exchange;
     }
 
@@ -138,7 +126,6 @@
 
     void close() {
         callClient.close();
-        repeatClient.close();
         pollClient.close();
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -35,6 +35,8 @@
     private static final int REFUSAL_BODY_TIMEOUT_MILLIS = 100;
     private static final int MAX_REFUSAL_BODY_BYTES = 64 << 10;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final Vertx vertx;
     private final ReadFirstQueue startQueue;
     private final TargetProtocol protocol;
@@ -43,12 +45,14 @@
     private final List<HeaderField> extraHeaders;
     private final int maxAnswerBytes;
     private final String requestId;
+    private final SentRequests sentRequests;
     private final TargetAnswerLog answerLog;
     private final Consumer<TargetResult> listener;
     private final Buffer answerBody = Buffer.buffer();
     private HttpClientRequest request;
     private HttpClientResponse response;
     private Optional<TargetResult> refusal = Optional.empty();
+    private long deadlineNanos;
     private long timer = -1;
     private boolean deadlinePassed;
     private boolean ended;
@@ -56,7 +60,8 @@
     /**
      * Creates an exchange that is not started.
      *
-     * @param requestId the id of the request, for the log
+     * @param requestId the id of the request, the same for all attempts of a call
+     * @param sentRequests the requests that have been sent to the target
      * @param answerLog logs the answers that cannot be used
      * @param listener receives the result of the exchange
      */
@@ -68,6 +73,7 @@
             List<HeaderField> extraHeaders,
             int maxAnswerBytes,
             String requestId,
+            SentRequests sentRequests,
             TargetAnswerLog answerLog,
             Consumer<TargetResult> listener) {
         this.vertx = vertx;
@@ -78,6 +84,7 @@
         this.extraHeaders = extraHeaders;
         this.maxAnswerBytes = maxAnswerBytes;
         this.requestId = requestId;
+        this.sentRequests = sentRequests;
         this.answerLog = answerLog;
         this.listener = listener;
     }
@@ -90,6 +97,7 @@
      *     answers or the ingress cancels it
      */
     void start(HttpClient client, RequestOptions options, long timeoutMillis) {
+        deadlineNanos = System.nanoTime() + timeoutMillis * NANOS_PER_MILLI;
         timer = vertx.setTimer(Math.max(1, timeoutMillis), ignored -> onDeadline());
         options.setMethod(HttpMethod.valueOf(requestContent.method()))
                 .setURI(requestContent.path());
@@ -168,6 +176,11 @@
             opened.reset();
             return;
         }
+        if (!mayBeSent()) {
+            end(TargetResult.aborted(FinishedCall.unknown(ErrorCode.REQUEST_REPEATED)));
+            opened.reset();
+            return;
+        }
         request = opened;
         for (HeaderField header : requestContent.headers()) {
             opened.headers().add(header.name(), header.value());
@@ -182,6 +195,12 @@
                 .onFailure(this::onBroken);
     }
 
+    private boolean mayBeSent() {
+        long nowNanos = System.nanoTime();
+        long remainingMillis = Math.max(0, (deadlineNanos - nowNanos) / NANOS_PER_MILLI);
+        return sentRequests.addIfNew(requestId, remainingMillis, nowNanos);
+    }
+
     // RFC 9110, section 8.6: a method that anticipates content sends Content-Length: 0.
     private static boolean sendsEmptyBody(String method) {
         return method.equals("POST") || method.equals("PUT") || method.equals("PATCH");
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -54,6 +54,8 @@
     private final EventLog log;
     private final NodeMetrics metrics;
     private final Listener listener;
+    // Kept when the target changes its address or connections.
+    private final SentRequests sentRequests = SentRequests.create();
     private TargetAnnouncement announcement;
     // The result of a poll that began before the last change is stale and is ignored.
     private long changeCount;
@@ -115,7 +117,13 @@
             }
             client =
                     TargetClient.create(
-                            vertx, protocol, next.address(), next.connections(), log, metrics);
+                            vertx,
+                            protocol,
+                            next.address(),
+                            next.connections(),
+                            sentRequests,
+                            log,
+                            metrics);
             reportedIncarnation = Optional.empty();
             reportsSpeed = false;
             pollPathIndex = 0;
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -51,8 +51,10 @@
     // Nodes at which an attempt failed for a reason other than load, so that queueing there cannot
     // help.
     private final Set<NodeId> unusable = new HashSet<>();
-    // Nodes whose target has rejected an attempt itself.
-    private final Set<NodeId> rejectedBy = new HashSet<>();
+    // Nodes whose target may have got the call. A target may repeat its answer late, in place of
+    // the
+    // answer to a further attempt of the same call, so it gets no such attempt.
+    private final Set<NodeId> reached = new HashSet<>();
     private Optional<FinishedCall> unknownResult = Optional.empty();
     private int attemptsMade;
     // Attempts that may have reached a target; the route's limit counts only these.
@@ -138,7 +140,7 @@
         if (state.isInRemovedDataCentresOnly()) {
             return ErrorCode.DATA_CENTRE_OUT;
         }
-        if (!rejectedBy.isEmpty()) {
+        if (!reached.isEmpty()) {
             return ErrorCode.TARGET_REFUSED;
         }
         // A call whose key is owned by a departed target must not run at another one.
@@ -151,22 +153,15 @@
         if (isKeyed()) {
             Optional<NodeId> owner = ingress.ownerOf(request, state.targets());
             if (owner.isPresent()) {
-                return state.findTarget(owner.get());
+                return reached.contains(owner.get())
+                        ? Optional.empty()
+                        : state.findTarget(owner.get());
             }
         }
         Optional<RouteTarget> candidate = state.choose(excludedNodes, nowNanos);
         // When all targets have refused, the caller gets the reason from the answer of the best
         // one.
-        return candidate.isPresent() ? candidate : state.choose(neverAgain(), nowNanos);
-    }
-
-    /**
-     * Returns the nodes whose targets must not get this call again. A target may repeat its
-     * rejection late, in place of the answer to the next attempt; that attempt would then be taken
-     * for not run although it has run. Idempotent calls do no harm if they run again.
-     */
-    private Set<NodeId> neverAgain() {
-        return request.idempotent() ? Set.of() : rejectedBy;
+        return candidate.isPresent() ? candidate : state.choose(reached, nowNanos);
     }
 
     private boolean isKeyed() {
@@ -238,7 +233,7 @@
         }
         if (hasReachedTarget(finished)) {
             targetsReached++;
-            rejectedBy.add(node);
+            reached.add(node);
         }
         if (openAttempts.isEmpty()) {
             retryOrEnd(attempt, finished, nowNanos);
@@ -257,6 +252,7 @@
     private void retryOrEnd(OpenAttempt attempt, FinishedCall finished, long nowNanos) {
         boolean retry =
                 mayReachAnotherTarget()
+                        && hasUnreachedTarget(nowNanos)
                         && state.retries()
                                 .shouldRetry(
                                         attemptsMade,
@@ -283,6 +279,11 @@
         return targetsReached + openAttempts.size() < request.parameters().maxAttempts();
     }
 
+    private boolean hasUnreachedTarget(long nowNanos) {
+        state.refresh(ingress.routingTable(), nowNanos);
+        return state.targets().stream().anyMatch(target -> !reached.contains(target.node()));
+    }
+
     private static boolean hasReachedTarget(FinishedCall finished) {
         return finished.outcome() != Outcome.NOT_RUN
                 || finished.error().equals(Optional.of(ErrorCode.TARGET_REFUSED));
--- a/node/src/test/java/org/dogwoodwood/node/guard/EndlessAnswerTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/EndlessAnswerTests.java
@@ -193,6 +193,7 @@
                         new SelfAnnouncingProtocol(),
                         Endpoint.of("127.0.0.1", server.port()),
                         5,
+                        SentRequests.create(),
                         EventLog.create(),
                         NodeMetrics.create());
         // The first call of a process may exceed its deadline on a busy machine.
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetClientTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetClientTests.java
@@ -53,6 +53,7 @@
                 new SelfAnnouncingProtocol(),
                 Endpoint.of("127.0.0.1", port),
                 9,
+                SentRequests.create(),
                 EventLog.create(),
                 NodeMetrics.create());
     }
