--- a/node/src/test/java/org/dogwoodwood/node/guard/EndlessAnswerTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/EndlessAnswerTests.java
@@ -107,6 +107,7 @@
     private final Vertx vertx = Vertx.vertx();
     private EndlessServer server;
     private TargetClient client;
+    private int calls;
 
     @AfterEach
     void stop() {
@@ -203,7 +204,7 @@
     private CompletableFuture<FinishedCall> send(String path) {
         CallFrame frame =
                 new CallFrame(
-                        AttemptId.of(CallId.of(NodeId.of("ingress"), 1, 1), 0),
+                        AttemptId.of(CallId.of(NodeId.of("ingress"), 1, calls++), 0),
                         1,
                         "shop",
                         "default",
