Drop answers to other requests instead of closing their connection

A target that sends an answer twice cost the next request on the connection its own answer: the guard closed the connection on an answer with another id, and the caller got 502 for a request that the target had run well, or a retry that ran it again.

HTTP/1.1 matches answers with requests by their order, but the targets repeat the id of the request. A filter in front of Vert.x's matching now drops whole answers that name another request, also on idle connections.

--- a/node/src/main/java/org/dogwoodwood/node/guard/DefaultTargetProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/DefaultTargetProtocol.java
@@ -34,7 +34,7 @@
     }
 
     @Override
-    public Optional<String> answeredRequestId(MultiMap headers) {
+    public Optional<String> requestIdHeader() {
         return Optional.empty();
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetAnswerLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetAnswerLog.java
@@ -1,6 +1,5 @@
 package org.dogwoodwood.node.guard;
 
-import io.vertx.core.http.HttpConnection;
 import java.util.Objects;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
@@ -24,10 +23,10 @@
      * Logs that the answer to a request broke off, breaks HTTP or passes a limit.
      *
      * @param requestId the request that waited for the answer, not null
-     * @param connection the connection on which it was sent, not null
+     * @param connection the local port of the connection on which it was sent
      * @param reason a sentence that describes the fault
      */
-    void onUnusable(String requestId, HttpConnection connection, String reason) {
+    void onUnusable(String requestId, int connection, String reason) {
         log.write(
                 LogEvent.TARGET_ANSWER_UNUSABLE,
                 "address",
@@ -35,7 +34,7 @@
                 "request",
                 requestId,
                 "connection",
-                connection.localAddress().port(),
+                connection,
                 "reason",
                 reason);
     }
@@ -44,12 +43,12 @@
      * Logs and counts an answer that came in place of the answer to a request and does not belong
      * to it.
      *
-     * @param requestId the request that waited for its answer, not null
-     * @param connection the connection on which it was sent, not null
+     * @param requestId the request that waited for its answer; empty if none did
+     * @param connection the local port of the connection
      * @param status the HTTP status of the answer
      * @param answeredId the id of the request that it belongs to; empty if it carries none
      */
-    void onForeign(String requestId, HttpConnection connection, int status, String answeredId) {
+    void onForeign(String requestId, int connection, int status, String answeredId) {
         metrics.onForeignAnswer();
         log.write(
                 LogEvent.TARGET_ANSWER_FOREIGN,
@@ -58,7 +57,7 @@
                 "request",
                 requestId,
                 "connection",
-                connection.localAddress().port(),
+                connection,
                 "answered_request",
                 answeredId,
                 "status",
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -59,8 +60,11 @@
         this.answerLog = answerLog;
         int callConnections = callConnections(connections);
         this.callClient =
-                vertx.createHttpClient(
-                        options(), new PoolOptions().setHttp1MaxSize(callConnections));
+                vertx.httpClientBuilder()
+                        .with(options())
+                        .with(new PoolOptions().setHttp1MaxSize(callConnections))
+                        .withConnectHandler(this::onConnected)
+                        .build();
         this.pollClient = BoundedHttpClient.create(vertx, options(), 1, MAX_POLL_BYTES);
         this.startQueue = ReadFirstQueue.create(vertx);
     }
@@ -129,6 +133,11 @@
         pollClient.close();
     }
 
+    private void onConnected(HttpConnection connection) {
+        protocol.requestIdHeader()
+                .ifPresent(header -> ForeignAnswerFilter.install(connection, header, answerLog));
+    }
+
     private String requestId(CallFrame frame) {
         return protocol.requestIdOf(frame).orElseGet(() -> frame.id().call().toString());
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetExchange.java
@@ -236,9 +236,9 @@
     private void onForeign() {
         answerLog.onForeign(
                 requestId,
-                request.connection(),
+                request.connection().localAddress().port(),
                 response.statusCode(),
-                protocol.answeredRequestId(response.headers()).orElse(""));
+                protocol.requestIdHeader().map(response::getHeader).orElse(""));
         endAndReset(TargetResult.broken());
     }
 
@@ -276,7 +276,7 @@
     }
 
     private void logUnusable(String reason) {
-        answerLog.onUnusable(requestId, request.connection(), reason);
+        answerLog.onUnusable(requestId, request.connection().localAddress().port(), reason);
     }
 
     private TargetResult answered() {
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetProtocol.java
@@ -33,8 +33,11 @@
     /** Returns the request id that the caller assigned, or empty if it assigned none. */
     Optional<String> requestIdOf(CallFrame frame);
 
-    /** Returns the id of the request that a response names, or empty if it names none. */
-    Optional<String> answeredRequestId(MultiMap headers);
+    /**
+     * Returns the name of the header field with the id of a request, which targets repeat in their
+     * answers, or empty if they do not.
+     */
+    Optional<String> requestIdHeader();
 
     /**
      * Classifies a response by its head.
--- a/node/src/test/java/org/dogwoodwood/node/guard/RepeatedAttemptTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/RepeatedAttemptTests.java
@@ -1,8 +1,9 @@
 package org.dogwoodwood.node.guard;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.dogwoodwood.node.guard.IdentifyingProtocol.REJECTED;
+import static org.dogwoodwood.node.guard.IdentifyingProtocol.REQUEST_ID;
 
-import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
@@ -36,8 +37,6 @@
  */
 class RepeatedAttemptTests {
 
-    private static final String REQUEST_ID = "Request-Id";
-    private static final String REJECTED = "Rejected";
     private static final int MAX_ANSWER_BYTES = 1_024;
     private static final int CONNECTIONS = 9;
     private static final long TIMEOUT_MILLIS = 5_000;
@@ -147,24 +146,4 @@
                 0,
                 true);
     }
-
-    /** A protocol whose answers carry the id of their request. */
-    private static final class IdentifyingProtocol extends SelfAnnouncingProtocol {
-
-        @Override
-        public Optional<String> requestIdOf(CallFrame frame) {
-            return frame.request().headers().stream()
-                    .filter(header -> header.name().equals(REQUEST_ID))
-                    .map(HeaderField::value)
-                    .findFirst();
-        }
-
-        @Override
-        public ResponseType classify(CallFrame frame, int status, MultiMap headers) {
-            if (!requestIdOf(frame).equals(Optional.ofNullable(headers.get(REQUEST_ID)))) {
-                return ResponseType.FOREIGN;
-            }
-            return headers.contains(REJECTED) ? ResponseType.NOT_RUN : ResponseType.ANSWER;
-        }
-    }
 }
--- a/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SelfAnnouncingProtocol.java
@@ -27,7 +27,7 @@
     }
 
     @Override
-    public Optional<String> answeredRequestId(MultiMap headers) {
+    public Optional<String> requestIdHeader() {
         return Optional.empty();
     }
 
