Join no answer from parts of two, and complete no body at a close of this side or a reset

Cause: Netty's decoder retains an incomplete head between two answers, Vert.x notices only complete heads without a request, and the decoder completes a body without a length at each end of the connection, whatever the reason.

ResponseFraming closes a connection on bytes that belong to no request: at once if none is open, and after an answer by two empty lines, which the decoder skips unless it has retained something. If a request is open already, a status line inside the head shows that it consists of two. A body that the end of the connection completes is dropped if this side closed it or the request was not written, so that the exchange ends as broken.

The client of calls needs the same line.

--- a/node/src/main/java/org/dogwoodwood/node/http/BoundedHttpClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/BoundedHttpClient.java
@@ -38,7 +38,13 @@
             Vertx vertx, HttpClientOptions options, int connections, int maxBodyBytes) {
         Objects.requireNonNull(vertx, "vertx");
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(connections);
-        return new BoundedHttpClient(vertx, vertx.createHttpClient(options, pool), maxBodyBytes);
+        HttpClient client =
+                vertx.httpClientBuilder()
+                        .with(options)
+                        .with(pool)
+                        .withConnectHandler(ResponseFraming::install)
+                        .build();
+        return new BoundedHttpClient(vertx, client, maxBodyBytes);
     }
 
     /**
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
@@ -0,0 +1,15 @@
+package org.dogwoodwood.node.http;
+
+/** Thrown when a response is not valid HTTP; its connection is closed. */
+public final class InvalidResponseException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    private InvalidResponseException(String message) {
+        super(message);
+    }
+
+    static InvalidResponseException joinedHeads() {
+        return new InvalidResponseException("the head of the response consists of parts of two");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
@@ -0,0 +1,133 @@
+package org.dogwoodwood.node.http;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Follows the requests and responses of a connection, and rejects joined heads and partial bodies.
+ */
+final class ResponseMessageHandler extends ChannelDuplexHandler {
+
+    /** Whether a response is expected. */
+    enum State {
+        IDLE,
+        EXPECTING_RESPONSE
+    }
+
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}");
+
+    private State state = State.IDLE;
+    private boolean requestWritten;
+    private boolean closedHere;
+    private boolean interim;
+    private boolean endedResponse;
+    private boolean checking;
+    private boolean foundMessage;
+
+    State state() {
+        return state;
+    }
+
+    /** Notes that the decoder is about to receive bytes. */
+    void onRead() {
+        endedResponse = false;
+    }
+
+    /** Returns whether a response has ended since the last call of {@link #onRead}. */
+    boolean hasEndedResponse() {
+        return endedResponse;
+    }
+
+    /** Starts a check of the decoder; messages that it yields now are dropped. */
+    void startCheck() {
+        checking = true;
+        foundMessage = false;
+    }
+
+    /** Ends the check; returns whether the decoder has yielded a message. */
+    boolean endCheck() {
+        checking = false;
+        return foundMessage;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
+            throws Exception {
+        if (message instanceof HttpRequest) {
+            state = State.EXPECTING_RESPONSE;
+            requestWritten = false;
+        }
+        if (message instanceof LastHttpContent) {
+            ChannelPromise written = promise.unvoid();
+            written.addListener(result -> requestWritten = result.isSuccess());
+            super.write(context, message, written);
+        } else {
+            super.write(context, message, promise);
+        }
+    }
+
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) throws Exception {
+        closedHere = true;
+        super.close(context, promise);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (checking) {
+            foundMessage = true;
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            interim = InterimResponses.isInterim(response.status().code());
+            if (isJoined(response)) {
+                ReferenceCountUtil.release(message);
+                context.fireExceptionCaught(InvalidResponseException.joinedHeads());
+                return;
+            }
+        }
+        if (message instanceof LastHttpContent && !interim) {
+            if (isCutOff(context)) {
+                // The end of the connection fails the request.
+                ReferenceCountUtil.release(message);
+                return;
+            }
+            state = State.IDLE;
+            endedResponse = true;
+        }
+        context.fireChannelRead(message);
+    }
+
+    /**
+     * Returns whether a body without a length was ended by something else than the peer's orderly
+     * close: by a close of this side, or by a reset that failed the writes of the request.
+     */
+    private boolean isCutOff(ChannelHandlerContext context) {
+        return !context.channel().isActive() && (closedHere || !requestWritten);
+    }
+
+    /** Returns whether a status line stands inside the head, after a part of another head. */
+    private static boolean isJoined(HttpResponse response) {
+        if (containsStatusLine(response.status().reasonPhrase())) {
+            return true;
+        }
+        for (Map.Entry<String, String> header : response.headers()) {
+            if (containsStatusLine(header.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean containsStatusLine(String text) {
+        return text.contains("HTTP/1.") && STATUS_LINE.matcher(text).find();
+    }
+}
