Let the connection close before the next poll of the test of cut copies

failedPollAfterACutCopyIsNoSuccess failed once in 3 runs: the second poll was sent while the connection was closing, and failed in place of reading 503. Polls follow one another at intervals. The status that the test demands is the same.

--- a/node/src/test/java/org/dogwoodwood/node/guard/CutCopyTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/CutCopyTests.java
@@ -75,6 +75,7 @@
         TargetClient client = TargetCalls.to(target.address(), vertx).client();
 
         assertThat(Waiting.get(client.poll("/health")).status()).isEqualTo(200);
+        Waiting.sleep(ScriptedTarget.PAUSE_MILLIS);
         assertThat(Waiting.get(client.poll("/health")).status()).isEqualTo(503);
     }
 
