Send the repeated call of the test of frames after the first one has arrived

RepeatedFrameTests.repeatedCallRunsOnce failed once in 2 runs: the frames of two connections overtook each other, so that the answer went to the other one. The demands are the same.

--- a/node/src/test/java/org/dogwoodwood/node/peer/RepeatedFrameTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/peer/RepeatedFrameTests.java
@@ -57,11 +57,12 @@
     @Test
     void repeatedCallRunsOnce() {
         first.send(call(1, "/slow"), call(1, "/slow"));
+        first.flush(1);
         second.send(call(1, "/slow"));
         Waiting.until("the call is answered", () -> !first.answers().isEmpty());
         second.send(call(1, "/slow"));
         Waiting.until("the answer is repeated", () -> !second.answers().isEmpty());
-        first.flush(1);
+        first.flush(2);
 
         assertThat(outcomes(first)).containsExactly("1 ANSWERED slow");
         assertThat(outcomes(second)).containsExactly("1 ANSWERED slow");
