Close a peer connection on a second HELLO

Cause: a server took any number of HELLO frames, while the opener of a connection refuses a second one. Nothing else depended on the second one, so that no wrong answer is known from it. RepeatedFrameTests.secondHelloClosesTheConnection failed before (the connection stayed open until it was silent) and passes.

--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
@@ -96,7 +96,9 @@
     }
 
     private void onHello(HelloFrame hello) {
-        if (hello.protocolVersion() != HelloFrame.PROTOCOL_VERSION) {
+        if (helloReceived) {
+            refuse("A second HELLO arrived.");
+        } else if (hello.protocolVersion() != HelloFrame.PROTOCOL_VERSION) {
             refuse("Unsupported protocol version " + hello.protocolVersion() + " in HELLO.");
         } else if (!secretsMatch(hello.sharedSecret(), server.identity().sharedSecret())) {
             refuse(ErrorCode.SECRET_MISMATCH.number() + " " + ErrorCode.SECRET_MISMATCH.remedy());
