Write no attempt that was cancelled while its connection was opened

Cause: when a guard had restarted, its new connection ended the attempts of the old one first. If the end of one cancelled another that had not been written, the channel wrote it nevertheless, and it ran at the guard after its ingress had taken it for not run. PeerChannelTests.attemptCancelledDuringTheReconnectIsNotWritten failed before and passes.

--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
@@ -144,6 +144,10 @@
         int resumed = 0;
         int restarted = 0;
         for (PendingAttempt attempt : List.copyOf(pending.values())) {
+            if (!pending.containsKey(attempt.frame().id())) {
+                // Cancelled when an attempt before it ended.
+                continue;
+            }
             if (!attempt.isWritten()) {
                 write(attempt);
             } else if (attempt.isAddressedTo(hello)) {
