--- a/core/src/test/java/org/dogwoodwood/core/calls/CallRegistryTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/calls/CallRegistryTests.java
@@ -69,6 +69,23 @@
         assertThat(registry.begin(id("b", 1, 1), later)).isEqualTo(CallState.NEW);
     }
 
+    @Test
+    void keepsRunningAttemptsWhileLaterOnesAreEvicted() {
+        AttemptId open = id("a", 1, 1);
+        assertThat(registry.begin(open, 0)).isEqualTo(CallState.NEW);
+        for (long counter = 2; counter <= 9; counter++) {
+            run(id("a", 1, counter), answer(10), 1);
+        }
+
+        assertThat(registry.begin(open, 2)).isEqualTo(CallState.RUNNING);
+        assertThat(registry.resumeOrCancel(open, 2)).isEqualTo(CallState.RUNNING);
+        assertThat(registry.begin(AttemptId.of(open.call(), 1), 2)).isEqualTo(CallState.EVICTED);
+        FinishedCall answer = answer(20);
+        registry.finish(open, answer, 3);
+        assertThat(registry.resumeOrCancel(open, 3)).isEqualTo(CallState.FINISHED);
+        assertThat(registry.finished(open)).containsSame(answer);
+    }
+
     @Test
     void rejectsFinishOfAnAttemptThatNeverBegan() {
         assertThatThrownBy(() -> registry.finish(id("a", 1, 1), answer(1), 0))
