--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseBytesHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseBytesHandler.java
@@ -1,6 +1,7 @@
 package org.dogwoodwood.node.http;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
@@ -23,7 +24,7 @@
     public void channelRead(ChannelHandlerContext context, Object bytes) {
         if (messages.state() == State.IDLE) {
             ReferenceCountUtil.release(bytes);
-            context.close();
+            close(context);
             return;
         }
         messages.onRead();
@@ -37,7 +38,11 @@
         messages.startCheck();
         context.fireChannelRead(Unpooled.copiedBuffer(EMPTY_LINES));
         if (messages.endCheck()) {
-            context.close();
+            close(context);
         }
     }
+
+    private static void close(ChannelHandlerContext context) {
+        context.close().addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
+    }
 }
