--- a/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
@@ -157,6 +157,20 @@
         assertFollowingCallsAreAnswered();
     }
 
+    /** Guards against the body of a copy, or of the next answer, as the body of one to HEAD. */
+    @Test
+    void copiesAroundAnAnswerToHeadReachNoOtherCall() {
+        String copy = WHOLE.replace(FIRST, "earlier");
+        String head = OK + FIVE;
+        connect(List.of(copy + head));
+        assertThat(TargetCalls.describe(calls.send("HEAD", FIRST))).isIn("200 ", BROKEN);
+        connect(List.of(head.replace(FIRST, "earlier") + WHOLE));
+        assertThat(TargetCalls.describe(calls.send("GET", FIRST))).isIn(SUCCEEDED, BROKEN);
+        connect(List.of(head, ScriptedTarget.PAUSE, copy));
+        assertThat(TargetCalls.describe(calls.send("HEAD", FIRST))).isEqualTo("200 ");
+        assertThat(TargetCalls.describe(calls.send("GET", "next-0"))).isIn("200 next-0", BROKEN);
+    }
+
     /** Guards against a partial body without a length that the end of the client completes. */
     @Test
     void answerThatTheClientClosesIsNotWhole() {
