Check the framing of the answers to calls, and drop foreign answers behind that check

ResponseFraming, so far on polls and on the clients of the log and the store, is now on the connections for calls too. The filter that drops answers to other requests moves beside it and shares what is known of the exchange. A whole answer that names another request is dropped, also while no request waits; anything else that comes without a request, or has begun and not ended when the answer is complete, closes the connection.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetClient.java
@@ -15,6 +15,7 @@
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.node.http.BoundedHttpClient;
+import org.dogwoodwood.node.http.ResponseFraming;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.loop.ReadFirstQueue;
 import org.dogwoodwood.node.metrics.NodeMetrics;
@@ -134,8 +135,7 @@
     }
 
     private void onConnected(HttpConnection connection) {
-        protocol.requestIdHeader()
-                .ifPresent(header -> ForeignAnswerFilter.install(connection, header, answerLog));
+        ResponseFraming.install(connection, protocol.requestIdHeader(), answerLog::onForeign);
     }
 
     private String requestId(CallFrame frame) {
--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseBytesHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseBytesHandler.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import org.dogwoodwood.node.http.ResponseMessageHandler.State;
 
 /** Closes the connection on received bytes that belong to no request, ahead of the decoder. */
 final class ResponseBytesHandler extends ChannelInboundHandlerAdapter {
@@ -14,34 +13,42 @@
     // The decoder skips empty lines between responses, but they complete a retained partial head.
     private static final byte[] EMPTY_LINES = "\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    private final ExchangeState exchange;
     private final ResponseMessageHandler messages;
 
-    ResponseBytesHandler(ResponseMessageHandler messages) {
+    ResponseBytesHandler(ExchangeState exchange, ResponseMessageHandler messages) {
+        this.exchange = exchange;
         this.messages = messages;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) {
-        if (messages.state() == State.IDLE) {
+        boolean idle = !exchange.isWaiting();
+        if (idle && !exchange.isDroppingForeignResponses()) {
             ReferenceCountUtil.release(bytes);
             close(context);
             return;
         }
-        messages.onRead();
+        exchange.onRead();
         context.fireChannelRead(bytes);
-        if (messages.hasEndedResponse() && context.channel().isActive()) {
-            closeOnRetainedBytes(context);
+        if ((idle || exchange.hasEnded()) && context.channel().isActive()) {
+            closeUnlessBetweenResponses(context);
         }
     }
 
-    private void closeOnRetainedBytes(ChannelHandlerContext context) {
-        messages.startCheck();
-        context.fireChannelRead(Unpooled.copiedBuffer(EMPTY_LINES));
-        if (messages.endCheck()) {
+    /** Nothing may have begun that would be continued by the answer to the next request. */
+    private void closeUnlessBetweenResponses(ChannelHandlerContext context) {
+        if (!messages.isBetweenResponses() || hasRetainedBytes(context)) {
             close(context);
         }
     }
 
+    private boolean hasRetainedBytes(ChannelHandlerContext context) {
+        messages.startCheck();
+        context.fireChannelRead(Unpooled.copiedBuffer(EMPTY_LINES));
+        return messages.endCheck();
+    }
+
     private static void close(ChannelHandlerContext context) {
         context.close().addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
     }
--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
@@ -10,39 +10,21 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
-/**
- * Follows the requests and responses of a connection, and rejects joined heads and partial bodies.
- */
+/** Rejects joined heads and partial bodies, and tells whether the decoder is between responses. */
 final class ResponseMessageHandler extends ChannelDuplexHandler {
 
-    /** Whether a response is expected. */
-    enum State {
-        IDLE,
-        EXPECTING_RESPONSE
-    }
-
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}");
 
-    private State state = State.IDLE;
+    private boolean betweenResponses = true;
     private boolean requestWritten;
     private boolean closedHere;
     private boolean interim;
-    private boolean endedResponse;
     private boolean checking;
     private boolean foundMessage;
 
-    State state() {
-        return state;
-    }
-
-    /** Notes that the decoder is about to receive bytes. */
-    void onRead() {
-        endedResponse = false;
-    }
-
-    /** Returns whether a response has ended since the last call of {@link #onRead}. */
-    boolean hasEndedResponse() {
-        return endedResponse;
+    /** Returns whether no response has begun and not ended. */
+    boolean isBetweenResponses() {
+        return betweenResponses;
     }
 
     /** Starts a check of the decoder; messages that it yields now are dropped. */
@@ -61,7 +43,6 @@
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
             throws Exception {
         if (message instanceof HttpRequest) {
-            state = State.EXPECTING_RESPONSE;
             requestWritten = false;
         }
         if (message instanceof LastHttpContent) {
@@ -87,6 +68,7 @@
             return;
         }
         if (message instanceof HttpResponse response) {
+            betweenResponses = false;
             interim = InterimResponses.isInterim(response.status().code());
             if (isJoined(response)) {
                 ReferenceCountUtil.release(message);
@@ -94,14 +76,13 @@
                 return;
             }
         }
-        if (message instanceof LastHttpContent && !interim) {
-            if (isCutOff(context)) {
+        if (message instanceof LastHttpContent) {
+            betweenResponses = true;
+            if (!interim && isCutOff(context)) {
                 // The end of the connection fails the request.
                 ReferenceCountUtil.release(message);
                 return;
             }
-            state = State.IDLE;
-            endedResponse = true;
         }
         context.fireChannelRead(message);
     }
--- a/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
@@ -1,7 +1,7 @@
 package org.dogwoodwood.node.guard;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.dogwoodwood.node.guard.TargetCalls.REQUEST_ID;
+import static org.dogwoodwood.node.guard.IdentifyingProtocol.REQUEST_ID;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -35,6 +35,8 @@
     private static final String HINTS = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n";
     private static final String PROCESSING = "HTTP/1.1 102 Processing\r\n\r\n";
 
+    private static final String STEP_END = "\u0000";
+
     private static final String BROKEN = "TARGET_FAILED";
     private static final String SUCCEEDED = "200 whole";
     private static final String FAILED = "500 whole";
@@ -107,11 +109,15 @@
                 BROKEN, OK + "Connection: close\r\n\r\nwhole", ScriptedTarget.RESET);
 
         private final String expected;
-        private final List<String> script;
+        private final String script;
 
         Answer(String expected, String... script) {
             this.expected = expected;
-            this.script = List.of(script);
+            this.script = String.join(STEP_END, script);
+        }
+
+        List<String> script() {
+            return List.of(script.split(STEP_END, -1));
         }
     }
 
@@ -128,7 +134,7 @@
     @ParameterizedTest
     @EnumSource
     void eachCallGetsItsOwnAnswer(Answer answer) {
-        connect(answer.script);
+        connect(answer.script());
 
         assertThat(TargetCalls.describe(calls.send("GET", FIRST))).isEqualTo(answer.expected);
         for (int call = 0; call < FOLLOWING_CALLS; call++) {
@@ -141,7 +147,7 @@
     @ParameterizedTest
     @EnumSource
     void callsAfterAPauseAreAnswered(Answer answer) {
-        connect(answer.script);
+        connect(answer.script());
         calls.send("GET", FIRST);
         Waiting.sleep(2 * ScriptedTarget.PAUSE_MILLIS);
 
--- a/node/src/test/java/org/dogwoodwood/node/guard/CutCopyTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/CutCopyTests.java
@@ -1,7 +1,7 @@
 package org.dogwoodwood.node.guard;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.dogwoodwood.node.guard.TargetCalls.REQUEST_ID;
+import static org.dogwoodwood.node.guard.IdentifyingProtocol.REQUEST_ID;
 
 import io.vertx.core.Vertx;
 import java.util.List;
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetCalls.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetCalls.java
@@ -1,7 +1,8 @@
 package org.dogwoodwood.node.guard;
 
+import static org.dogwoodwood.node.guard.IdentifyingProtocol.REQUEST_ID;
+
 import io.vertx.core.Future;
-import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.nio.charset.StandardCharsets;
@@ -14,14 +15,13 @@
 import org.dogwoodwood.core.model.HeaderField;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.support.Waiting;
 
 /** Calls to one target, whose answers carry the id of their request. */
 final class TargetCalls {
 
-    static final String REQUEST_ID = "Request-Id";
-
     private static final int MAX_ANSWER_BYTES = 1 << 20;
     private static final int CONNECTIONS = 9;
     private static final long TIMEOUT_MILLIS = 2_000;
@@ -35,10 +35,16 @@
     }
 
     static TargetCalls to(Endpoint target, Vertx vertx) {
-        IdEchoingProtocol protocol = new IdEchoingProtocol();
         return new TargetCalls(
                 vertx,
-                TargetClient.create(vertx, protocol, target, CONNECTIONS, EventLog.create()));
+                TargetClient.create(
+                        vertx,
+                        new IdentifyingProtocol(),
+                        target,
+                        CONNECTIONS,
+                        SentRequests.create(),
+                        EventLog.create(),
+                        NodeMetrics.create()));
     }
 
     TargetClient client() {
@@ -91,22 +97,4 @@
                 0,
                 true);
     }
-
-    private static final class IdEchoingProtocol extends SelfAnnouncingProtocol {
-
-        @Override
-        public Optional<String> requestIdOf(CallFrame frame) {
-            return frame.request().headers().stream()
-                    .filter(header -> header.name().equals(REQUEST_ID))
-                    .map(HeaderField::value)
-                    .findFirst();
-        }
-
-        @Override
-        public ResponseType classify(CallFrame frame, int status, MultiMap headers) {
-            return requestIdOf(frame).equals(Optional.ofNullable(headers.get(REQUEST_ID)))
-                    ? ResponseType.ANSWER
-                    : ResponseType.FOREIGN;
-        }
-    }
 }
