--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -40,6 +40,8 @@
             "Another process answers at the address of the target, which is out of service."),
     TARGET_ANSWER_FOREIGN(
             312, Severity.WARNING, "An answer came that is not the one to the waiting request."),
+    TARGET_UNCONFIRMED(
+            313, Severity.INFO, "The node has just started and awaits a second heartbeat."),
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
