Bound the sum of the bodies that a process holds

A refusal before the body had been read closed the connection with unread bytes; the reset that follows breaks the caller's writes and may discard the answer, as seen once in FailureTests.refusesBodiesAboveTheLimits.

Change: BodyMemory bounds all bodies by a quarter of the heap, with a part kept for small ones. The ingress reserves a body before it reads it and refuses it with 503, not run; a guard does the same for calls of peers, and skips frames that do not fit. After a refusal the node reads on for a bounded time and size before it closes. Fewer copies of bodies.

--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
@@ -61,6 +61,26 @@
         }
     }
 
+    /**
+     * Decodes the attempt of a call or an answer from the beginning of its frame.
+     *
+     * @param start the first bytes of the encoded frame without its length prefix, not null
+     * @return the attempt, or empty if the frame is of another type
+     * @throws DogwoodwoodException with {@link ErrorCode#FRAME_MALFORMED} if the bytes do not begin
+     *     a frame
+     */
+    public static Optional<AttemptId> decodeAttempt(byte[] start) {
+        try (BoundedReader reader = BoundedReader.of(start)) {
+            reader.readArrayHeader();
+            int type = reader.readInt();
+            boolean hasAttempt = type == CallFrame.TYPE || type == AnswerFrame.TYPE;
+            return hasAttempt ? Optional.of(reader.readAttempt()) : Optional.empty();
+        } catch (MessagePackException | IllegalArgumentException | IOException e) {
+            throw new DogwoodwoodException(
+                    ErrorCode.FRAME_MALFORMED, "A frame cannot be decoded: " + e.getMessage(), e);
+        }
+    }
+
     private static Frame decode(BoundedReader reader, int type, int elements) throws IOException {
         return switch (type) {
             case HelloFrame.TYPE -> {
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
@@ -33,13 +33,13 @@
      */
     public static byte[] encode(Frame frame) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.writePayload(new byte[WireLimits.PREFIX_BYTES]);
             pack(packer, frame);
-            byte[] payload = packer.toByteArray();
-            checkSize("The frame", payload.length, WireLimits.MAX_FRAME_BYTES);
-            return ByteBuffer.allocate(WireLimits.PREFIX_BYTES + payload.length)
-                    .putInt(payload.length)
-                    .put(payload)
-                    .array();
+            byte[] encoded = packer.toByteArray();
+            int length = encoded.length - WireLimits.PREFIX_BYTES;
+            checkSize("The frame", length, WireLimits.MAX_FRAME_BYTES);
+            ByteBuffer.wrap(encoded).putInt(length);
+            return encoded;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/WireLimits.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/WireLimits.java
@@ -6,6 +6,9 @@
     /** The maximum size of an encoded frame without its length prefix, in bytes (6 MiB). */
     public static final int MAX_FRAME_BYTES = 6 << 20;
 
+    /** The maximum size of a body, which leaves 1 MiB of a frame for the rest, in bytes. */
+    public static final int MAX_BODY_BYTES = MAX_FRAME_BYTES - (1 << 20);
+
     /** The size of the length prefix, in bytes. */
     public static final int PREFIX_BYTES = 4;
 
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -23,6 +23,7 @@
 import org.dogwoodwood.node.keys.KeyService;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
+import org.dogwoodwood.node.memory.BodyMemory;
 import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.peer.DefaultPeerTransport;
 import org.dogwoodwood.node.peer.PeerIdentity;
@@ -201,9 +202,10 @@
     }
 
     private Future<Void> startPeerTransport() {
-        pool = PeerPool.create(vertx, loop.context(), identity, PeerTimings.DEFAULT, log);
+        BodyMemory memory = parts.bodyMemory();
+        pool = PeerPool.create(vertx, loop.context(), identity, PeerTimings.DEFAULT, memory, log);
         pool.setLateAnswerListener(metrics::onLateAnswer);
-        peerServer = PeerServer.create(vertx, identity, PeerTimings.DEFAULT, log);
+        peerServer = PeerServer.create(vertx, identity, PeerTimings.DEFAULT, memory, log);
         return listen(peerServer.start(settings.peerAddress()), "peer", settings.peerAddress())
                 .map(
                         port -> {
@@ -287,11 +289,10 @@
         addGauges();
         NodeRoutes.add(adminRouter, loop, guard, control, metrics, () -> leaving);
         IngressLimits limits =
-                new IngressLimits(
-                        settings.budgets().slowSenderMillis(),
-                        IngressLimits.DEFAULT.maxTimeoutMillis(),
-                        IngressLimits.DEFAULT.maxHeaderBytes());
-        ingressServer = IngressServer.create(vertx, ingress, limits, parts.callers(), metrics, log);
+                IngressLimits.DEFAULT.withSlowSenderMillis(settings.budgets().slowSenderMillis());
+        ingressServer =
+                IngressServer.create(
+                        vertx, ingress, limits, parts.callers(), parts.bodyMemory(), metrics, log);
         Endpoint address = settings.callerAddress();
         return listen(ingressServer.start(address), "caller", address)
                 .compose(
@@ -335,7 +336,8 @@
 
     private void addGauges() {
         metrics.addGauge("dogwoodwood_guard_pending_calls", guard::pendingCalls);
-        metrics.addGauge("dogwoodwood_target_polls_total", () -> (int) guard.polls());
+        metrics.addGauge("dogwoodwood_held_body_bytes", parts.bodyMemory()::heldBytes);
+        metrics.addGauge("dogwoodwood_target_polls_total", guard::polls);
         metrics.addGauge(
                 "dogwoodwood_ingress_pending_requests",
                 () -> ingressServer == null ? 0 : ingressServer.pending());
--- a/node/src/main/java/org/dogwoodwood/node/NodeComponents.java
+++ b/node/src/main/java/org/dogwoodwood/node/NodeComponents.java
@@ -7,22 +7,34 @@
 import org.dogwoodwood.node.ingress.CallerProtocol;
 import org.dogwoodwood.node.ingress.DefaultCallerProtocol;
 import org.dogwoodwood.node.ingress.IngressLimits;
+import org.dogwoodwood.node.memory.BodyMemory;
 
 /**
- * The replaceable components of a node: its control plane and its protocols.
+ * The replaceable components of a node: its control plane, its protocols and its limit of memory.
  *
  * @param control creates the control plane
  * @param callers the protocol between callers and the ingress
  * @param target the protocol between the guard and its target
+ * @param bodyMemory bounds the sum of the bodies that the process holds
  */
 public record NodeComponents(
-        ControlPlaneFactory control, CallerProtocol callers, TargetProtocol target) {
+        ControlPlaneFactory control,
+        CallerProtocol callers,
+        TargetProtocol target,
+        BodyMemory bodyMemory) {
 
     /** Checks that the references are present. */
     public NodeComponents {
         Objects.requireNonNull(control, "control");
         Objects.requireNonNull(callers, "callers");
         Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(bodyMemory, "bodyMemory");
+    }
+
+    /** Creates components that bound bodies by the memory that this process may use. */
+    public NodeComponents(
+            ControlPlaneFactory control, CallerProtocol callers, TargetProtocol target) {
+        this(control, callers, target, BodyMemory.ofProcess(Runtime.getRuntime().maxMemory()));
     }
 
     /** Returns components with the default protocols of callers and targets. */
@@ -32,4 +44,9 @@
                 DefaultCallerProtocol.create(IngressLimits.DEFAULT),
                 DefaultTargetProtocol.create());
     }
+
+    /** Returns these components with another bound on bodies. */
+    public NodeComponents withBodyMemory(BodyMemory newMemory) {
+        return new NodeComponents(control, callers, target, newMemory);
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressLimits.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressLimits.java
@@ -17,4 +17,9 @@
      * The maximum number of services that a call may pass through; call chains are up to 21 deep.
      */
     public static final int MAX_DEPTH = 24;
+
+    /** Returns these limits with another time for slow senders. */
+    public IngressLimits withSlowSenderMillis(int millis) {
+        return new IngressLimits(millis, maxTimeoutMillis, maxHeaderBytes);
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -22,6 +22,8 @@
 import org.dogwoodwood.node.http.AnswerWriter;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
+import org.dogwoodwood.node.memory.BodyMemory;
+import org.dogwoodwood.node.memory.BodyReservation;
 import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.settings.Endpoint;
 
@@ -38,6 +40,7 @@
     private final Ingress ingress;
     private final IngressLimits limits;
     private final CallerProtocol protocol;
+    private final BodyMemory memory;
     private final NodeMetrics metrics;
     private final EventLog log;
     private final RequestReader reader;
@@ -55,17 +58,24 @@
             Ingress ingress,
             IngressLimits limits,
             CallerProtocol protocol,
+            BodyMemory memory,
             NodeMetrics metrics,
             EventLog log) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.ingress = Objects.requireNonNull(ingress, "ingress");
         this.limits = Objects.requireNonNull(limits, "limits");
         this.protocol = Objects.requireNonNull(protocol, "protocol");
+        this.memory = Objects.requireNonNull(memory, "memory");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.log = Objects.requireNonNull(log, "log");
         this.reader =
                 new RequestReader(
-                        vertx, () -> ingress.routingTable().configuration(), limits, protocol, log);
+                        vertx,
+                        () -> ingress.routingTable().configuration(),
+                        limits,
+                        protocol,
+                        memory,
+                        log);
     }
 
     /** Returns a server for the calls of the given ingress. */
@@ -74,9 +84,10 @@
             Ingress ingress,
             IngressLimits limits,
             CallerProtocol protocol,
+            BodyMemory memory,
             NodeMetrics metrics,
             EventLog log) {
-        return new IngressServer(vertx, ingress, limits, protocol, metrics, log);
+        return new IngressServer(vertx, ingress, limits, protocol, memory, metrics, log);
     }
 
     /**
@@ -172,7 +183,7 @@
         if (pipelined.isPresent()) {
             pendingRequest.onStarted(pipelined.get());
         } else {
-            reader.read(request)
+            reader.read(request, pendingRequest.bodyReservation)
                     .onSuccess(pendingRequest::onRead)
                     .onFailure(pendingRequest::onRefused);
         }
@@ -242,6 +253,7 @@
 
         private final HttpServerRequest request;
         private final RequestPipeline pipeline;
+        private final BodyReservation bodyReservation = memory.reservation();
         private long arrivedNanos = System.nanoTime();
         private IngressCall call;
         private boolean answered;
@@ -282,6 +294,7 @@
             }
             answered = true;
             metrics.onIngressError(code);
+            bodyReservation.release();
             boolean unread = !request.isEnded();
             boolean isHttp1 = request.version() != HttpVersion.HTTP_2;
             // The rest of the body would be parsed as the next request. While draining, the
@@ -291,16 +304,10 @@
                 request.response().putHeader("Connection", "close");
             }
             Future<Void> written = protocol.writeError(request, code, detail);
-            if (unread) {
-                written.onComplete(ignored -> closeUnread(isHttp1));
-            }
-        }
-
-        private void closeUnread(boolean isHttp1) {
-            if (isHttp1) {
-                request.connection().close();
-            } else {
-                request.response().reset();
+            if (unread && isHttp1) {
+                LingeringClose.start(vertx, request, written);
+            } else if (unread) {
+                written.onComplete(ignored -> request.response().reset());
             }
         }
 
@@ -356,6 +363,7 @@
             }
             closed = true;
             pending--;
+            bodyReservation.release();
             pipeline.onAnswerWritten();
             if (!answered && call != null) {
                 metrics.onCancelled();
--- a/node/src/main/java/org/dogwoodwood/node/ingress/RequestReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/RequestReader.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import java.util.Optional;
@@ -14,6 +13,8 @@
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
+import org.dogwoodwood.node.memory.BodyMemory;
+import org.dogwoodwood.node.memory.BodyReservation;
 
 /** Validates the head of a request and reads its body within limits of size and time. */
 final class RequestReader {
@@ -26,33 +27,38 @@
     private final IngressLimits limits;
     private final EventLog log;
     private final CallerProtocol protocol;
+    private final BodyMemory memory;
 
     RequestReader(
             Vertx vertx,
             Supplier<Configuration> configuration,
             IngressLimits limits,
             CallerProtocol protocol,
+            BodyMemory memory,
             EventLog log) {
         this.vertx = vertx;
         this.configuration = configuration;
         this.limits = limits;
         this.protocol = protocol;
+        this.memory = memory;
         this.log = log;
     }
 
     /**
      * Reads a request whose head has arrived.
      *
+     * @param reservation holds the memory for the body; the caller releases it when the body is no
+     *     longer needed
      * @return a future of the complete request; it fails with a {@link DogwoodwoodException} if the
      *     request is invalid, and the rest of its body is then unread
      */
-    Future<IngressRequest> read(HttpServerRequest request) {
+    Future<IngressRequest> read(HttpServerRequest request, BodyReservation reservation) {
         long nowNanos = System.nanoTime();
         try {
             RequestHead head = RequestHead.of(request);
             checkFraming(head);
             CallParameters parameters = protocol.readHead(head, configuration.get());
-            return readBody(request, parameters.service().maxRequestBytes())
+            return readBody(request, reservation, parameters.service().maxRequestBytes())
                     .map(
                             body ->
                                     new IngressRequest(
@@ -63,7 +69,7 @@
                                                     request.method().name(),
                                                     parameters.path(),
                                                     parameters.headers(),
-                                                    body.getBytes())));
+                                                    body)));
         } catch (DogwoodwoodException e) {
             return Future.failedFuture(e);
         }
@@ -115,13 +121,15 @@
         }
     }
 
-    private Future<Buffer> readBody(HttpServerRequest request, int maxBytes) {
+    private Future<byte[]> readBody(
+            HttpServerRequest request, BodyReservation reservation, int maxRequestBytes) {
+        RequestBody body =
+                new RequestBody(reservation, Math.min(maxRequestBytes, memory.largestBodyBytes()));
+        Promise<byte[]> promise = Promise.promise();
         String length = request.getHeader("Content-Length");
-        if (length != null && parseLong("Content-Length", length) > maxBytes) {
-            throw tooLarge(maxBytes);
+        if (length != null) {
+            runOrFail(promise, () -> body.expect(parseLong("Content-Length", length)));
         }
-        Promise<Buffer> promise = Promise.promise();
-        Buffer body = Buffer.buffer();
         long timer =
                 vertx.setTimer(
                         limits.slowSenderMillis(),
@@ -134,21 +142,43 @@
                                     body.length());
                             promise.tryFail(badRequest("The request was not sent in time."));
                         });
-        request.handler(
-                chunk -> {
-                    if (promise.future().isComplete()) {
-                        return;
-                    }
-                    if (body.length() + chunk.length() > maxBytes) {
-                        promise.tryFail(tooLarge(maxBytes));
-                    } else {
-                        body.appendBuffer(chunk);
-                    }
-                });
+        request.handler(chunk -> runOrFail(promise, () -> body.append(chunk)));
         request.exceptionHandler(
                 failure -> promise.tryFail(badRequest("The request body is malformed or broken.")));
-        request.endHandler(ignored -> promise.tryComplete(body));
-        return promise.future().onComplete(ignored -> vertx.cancelTimer(timer));
+        request.endHandler(ignored -> runOrFail(promise, () -> promise.complete(body.complete())));
+        return promise.future()
+                .onComplete(ignored -> vertx.cancelTimer(timer))
+                .onFailure(
+                        failure -> {
+                            body.drop();
+                            logIfOverloaded(request, failure);
+                        });
+    }
+
+    /** Runs a step of reading a body, unless the reading has ended. */
+    private static void runOrFail(Promise<byte[]> promise, Runnable step) {
+        if (promise.future().isComplete()) {
+            return;
+        }
+        try {
+            step.run();
+        } catch (DogwoodwoodException e) {
+            promise.fail(e);
+        }
+    }
+
+    private void logIfOverloaded(HttpServerRequest request, Throwable failure) {
+        if (failure instanceof DogwoodwoodException refusal
+                && refusal.code() == ErrorCode.OVERLOADED) {
+            log.write(
+                    LogEvent.BODY_MEMORY_USED_UP,
+                    "from",
+                    request.remoteAddress(),
+                    "held",
+                    memory.heldBytes(),
+                    "limit",
+                    memory.largestBodyBytes());
+        }
     }
 
     static long parseLong(String name, String text) {
@@ -159,11 +189,6 @@
         }
     }
 
-    private static DogwoodwoodException tooLarge(int maxBytes) {
-        return new DogwoodwoodException(
-                ErrorCode.REQUEST_TOO_LARGE, "The body exceeds " + maxBytes + " bytes.");
-    }
-
     static DogwoodwoodException badRequest(String message) {
         return new DogwoodwoodException(ErrorCode.BAD_REQUEST, message);
     }
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -41,6 +41,8 @@
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
+    BODY_MEMORY_USED_UP(
+            403, Severity.WARNING, "There is no memory for a body; its sender gets a refusal."),
 
     CALL_REFUSED(451, Severity.INFO, "The node refused a call, which was not run."),
     CALL_RETRIED(452, Severity.INFO, "A call goes to another target."),
--- a/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
@@ -8,7 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.dogwoodwood.core.ErrorCode;
 
 /**
@@ -115,8 +115,8 @@
     }
 
     /** Adds a gauge, whose value is read each time the metrics are written. */
-    public void addGauge(String name, IntSupplier value) {
-        Gauge<Integer> gauge = value::getAsInt;
+    public void addGauge(String name, LongSupplier value) {
+        Gauge<Long> gauge = value::getAsLong;
         registry.register(name, gauge);
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/peer/FrameConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/FrameConnection.java
@@ -1,6 +1,8 @@
 package org.dogwoodwood.node.peer;
 
+import io.netty.buffer.Unpooled;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
 import org.dogwoodwood.codec.wire.Frame;
@@ -10,27 +12,40 @@
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
+import org.dogwoodwood.node.memory.BodyMemory;
+import org.dogwoodwood.node.memory.BodyReservation;
 
 /** Sends and receives frames on one TCP connection. */
 final class FrameConnection {
 
+    // A skipped frame is read in parts of this size; the first one holds the id of its attempt.
+    private static final int SKIPPED_PART_BYTES = 16 << 10;
+
     private final NetSocket socket;
     private final FrameListener listener;
+    private final BodyMemory memory;
     private final EventLog log;
     private final RecordParser parser;
+    private BodyReservation reservation;
     private boolean expectsPrefix = true;
+    private int bytesToSkip;
+    private boolean firstSkippedPart;
     private boolean open = true;
     private boolean received;
 
-    private FrameConnection(NetSocket socket, FrameListener listener, EventLog log) {
+    private FrameConnection(
+            NetSocket socket, FrameListener listener, BodyMemory memory, EventLog log) {
         this.socket = socket;
         this.listener = listener;
+        this.memory = memory;
+        this.reservation = memory.reservation();
         this.log = log;
         this.parser = RecordParser.newFixed(WireLimits.PREFIX_BYTES, this::onRecord);
     }
 
-    static FrameConnection attach(NetSocket socket, FrameListener listener, EventLog log) {
-        FrameConnection connection = new FrameConnection(socket, listener, log);
+    static FrameConnection attach(
+            NetSocket socket, FrameListener listener, BodyMemory memory, EventLog log) {
+        FrameConnection connection = new FrameConnection(socket, listener, memory, log);
         socket.handler(connection::onBytes);
         socket.closeHandler(ignored -> connection.onClosed());
         // Vert.x calls the close handler after every failure of the socket.
@@ -46,7 +61,7 @@
     void send(Frame frame) {
         byte[] bytes = FrameEncoder.encode(frame);
         if (open) {
-            socket.write(Buffer.buffer(bytes));
+            socket.write(BufferInternal.buffer(Unpooled.wrappedBuffer(bytes)));
         }
     }
 
@@ -86,18 +101,71 @@
         }
         try {
             if (expectsPrefix) {
-                parser.fixedSizeMode(FrameDecoder.checkLength(record.getInt(0)));
-                expectsPrefix = false;
-                return;
+                onPrefix(FrameDecoder.checkLength(record.getInt(0)));
+            } else if (bytesToSkip > 0) {
+                onSkippedPart(record);
+            } else {
+                expectPrefix();
+                onPayload(record);
             }
-            parser.fixedSizeMode(WireLimits.PREFIX_BYTES);
-            expectsPrefix = true;
-            listener.onFrame(FrameDecoder.decode(record.getBytes()));
         } catch (DogwoodwoodException e) {
             refuse(e);
         }
     }
 
+    private void onPrefix(int length) {
+        expectsPrefix = false;
+        reservation = memory.reservation();
+        if (length <= BodyMemory.SMALL_BODY_BYTES || reservation.tryGrow(length)) {
+            parser.fixedSizeMode(length);
+            return;
+        }
+        log.write(
+                LogEvent.BODY_MEMORY_USED_UP,
+                "from",
+                remoteAddress(),
+                "held",
+                memory.heldBytes(),
+                "limit",
+                memory.largestBodyBytes());
+        bytesToSkip = length;
+        firstSkippedPart = true;
+        expectSkippedPart();
+    }
+
+    private void onPayload(Buffer payload) {
+        Frame frame;
+        try {
+            frame = FrameDecoder.decode(payload.getBytes());
+        } finally {
+            reservation.release();
+        }
+        listener.onFrame(frame);
+    }
+
+    private void onSkippedPart(Buffer part) {
+        boolean first = firstSkippedPart;
+        firstSkippedPart = false;
+        bytesToSkip -= part.length();
+        if (bytesToSkip == 0) {
+            expectPrefix();
+        } else {
+            expectSkippedPart();
+        }
+        if (first) {
+            FrameDecoder.decodeAttempt(part.getBytes()).ifPresent(listener::onSkipped);
+        }
+    }
+
+    private void expectSkippedPart() {
+        parser.fixedSizeMode(Math.min(bytesToSkip, SKIPPED_PART_BYTES));
+    }
+
+    private void expectPrefix() {
+        parser.fixedSizeMode(WireLimits.PREFIX_BYTES);
+        expectsPrefix = true;
+    }
+
     private void refuse(DogwoodwoodException e) {
         log.write(
                 LogEvent.FRAME_REFUSED,
@@ -113,6 +181,7 @@
     private void onClosed() {
         if (open) {
             open = false;
+            reservation.release();
             listener.onClosed();
         }
     }
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
@@ -248,6 +248,7 @@
                             endpoint,
                             pool.identity(),
                             pool.timings(),
+                            pool.memory(),
                             pool.log(),
                             this);
             link.open(pool.client());
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
@@ -4,13 +4,18 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.util.Optional;
+import org.dogwoodwood.codec.wire.AnswerFrame;
 import org.dogwoodwood.codec.wire.Frame;
 import org.dogwoodwood.codec.wire.HelloFrame;
 import org.dogwoodwood.codec.wire.PingFrame;
 import org.dogwoodwood.codec.wire.PongFrame;
+import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.calls.AttemptId;
+import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
+import org.dogwoodwood.node.memory.BodyMemory;
 import org.dogwoodwood.node.settings.Endpoint;
 
 /** One connection that this node opens to a peer. */
@@ -43,6 +48,7 @@
     private final PeerIdentity identity;
     private final PeerTimings timings;
     private final PingSchedule pings;
+    private final BodyMemory memory;
     private final EventLog log;
     private final Owner owner;
     private FrameConnection connection;
@@ -57,6 +63,7 @@
             Endpoint endpoint,
             PeerIdentity identity,
             PeerTimings timings,
+            BodyMemory memory,
             EventLog log,
             Owner owner) {
         this.vertx = vertx;
@@ -64,6 +71,7 @@
         this.identity = identity;
         this.timings = timings;
         this.pings = PingSchedule.create(timings);
+        this.memory = memory;
         this.log = log;
         this.owner = owner;
     }
@@ -102,6 +110,12 @@
         }
     }
 
+    @Override
+    public void onSkipped(AttemptId id) {
+        FinishedCall unknown = FinishedCall.unknown(ErrorCode.OUTCOME_UNKNOWN);
+        owner.onFrame(this, AnswerFrame.of(id, unknown, Optional.empty()));
+    }
+
     @Override
     public void onClosed() {
         if (closed) {
@@ -120,7 +134,7 @@
             socket.close();
             return;
         }
-        connection = FrameConnection.attach(socket, this, log);
+        connection = FrameConnection.attach(socket, this, memory, log);
         connection.send(identity.hello());
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerPool.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerPool.java
@@ -18,6 +18,7 @@
 import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.core.routing.RouteTarget;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.memory.BodyMemory;
 import org.dogwoodwood.node.settings.Endpoint;
 
 /** Pool of the connections that this node opens to peers: one per peer, closed when idle. */
@@ -32,6 +33,7 @@
     private final Context context;
     private final PeerIdentity identity;
     private final PeerTimings timings;
+    private final BodyMemory memory;
     private final EventLog log;
     private final NetClient client;
     private final Map<Endpoint, PeerChannel> channels = new HashMap<>();
@@ -43,11 +45,13 @@
             Context context,
             PeerIdentity identity,
             PeerTimings timings,
+            BodyMemory memory,
             EventLog log) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.context = Objects.requireNonNull(context, "context");
         this.identity = Objects.requireNonNull(identity, "identity");
         this.timings = Objects.requireNonNull(timings, "timings");
+        this.memory = Objects.requireNonNull(memory, "memory");
         this.log = Objects.requireNonNull(log, "log");
         this.client =
                 vertx.createNetClient(
@@ -66,8 +70,9 @@
             Context context,
             PeerIdentity identity,
             PeerTimings timings,
+            BodyMemory memory,
             EventLog log) {
-        PeerPool pool = new PeerPool(vertx, context, identity, timings, log);
+        PeerPool pool = new PeerPool(vertx, context, identity, timings, memory, log);
         context.runOnContext(
                 ignored -> {
                     vertx.setPeriodic(IDLE_CHECK_MILLIS, timer -> pool.closeIdle());
@@ -154,6 +159,10 @@
         return timings;
     }
 
+    BodyMemory memory() {
+        return memory;
+    }
+
     EventLog log() {
         return log;
     }
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
@@ -13,6 +13,7 @@
 import org.dogwoodwood.codec.wire.ControlFrame;
 import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.memory.BodyMemory;
 import org.dogwoodwood.node.settings.Endpoint;
 
 /** Accepts connections of peers and passes their frames to the guard and the control plane. */
@@ -22,6 +23,7 @@
     private final PeerIdentity identity;
     private final PeerTimings timings;
     private CallHandler callHandler = new RejectingCallHandler();
+    private final BodyMemory memory;
     private final EventLog log;
     private final Set<PeerServerConnection> connections = new HashSet<>();
     private volatile Function<ControlFrame, Future<ControlFrame>> controlHandler =
@@ -29,17 +31,27 @@
     private Context context;
     private NetServer server;
 
-    private PeerServer(Vertx vertx, PeerIdentity identity, PeerTimings timings, EventLog log) {
+    private PeerServer(
+            Vertx vertx,
+            PeerIdentity identity,
+            PeerTimings timings,
+            BodyMemory memory,
+            EventLog log) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.identity = Objects.requireNonNull(identity, "identity");
         this.timings = Objects.requireNonNull(timings, "timings");
+        this.memory = Objects.requireNonNull(memory, "memory");
         this.log = Objects.requireNonNull(log, "log");
     }
 
     /** Returns a server that refuses calls until {@link #setCallHandler}. */
     public static PeerServer create(
-            Vertx vertx, PeerIdentity identity, PeerTimings timings, EventLog log) {
-        return new PeerServer(vertx, identity, timings, log);
+            Vertx vertx,
+            PeerIdentity identity,
+            PeerTimings timings,
+            BodyMemory memory,
+            EventLog log) {
+        return new PeerServer(vertx, identity, timings, memory, log);
     }
 
     /**
@@ -65,7 +77,7 @@
 
     /** Sets the guard; must be called on the traffic loop. */
     public void setCallHandler(CallHandler handler) {
-        callHandler = Objects.requireNonNull(handler, "handler");
+        callHandler = new BodyLimitedCalls(handler, memory);
     }
 
     /** Sends a load report to the peers that send calls; must be called on the traffic loop. */
@@ -90,6 +102,10 @@
         return callHandler;
     }
 
+    BodyMemory memory() {
+        return memory;
+    }
+
     EventLog log() {
         return log;
     }
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
@@ -42,7 +42,8 @@
 
     static PeerServerConnection accept(NetSocket socket, PeerServer server) {
         PeerServerConnection accepted = new PeerServerConnection(server);
-        accepted.connection = FrameConnection.attach(socket, accepted, server.log());
+        accepted.connection =
+                FrameConnection.attach(socket, accepted, server.memory(), server.log());
         return accepted;
     }
 
@@ -83,6 +84,14 @@
         }
     }
 
+    @Override
+    public void onSkipped(AttemptId id) {
+        if (helloReceived) {
+            FinishedCall refused = FinishedCall.notRun(ErrorCode.GUARD_BUSY);
+            reply(id, AttemptAnswer.of(refused, server.callHandler().report()));
+        }
+    }
+
     @Override
     public void onClosed() {
         server.onClosed(this);
--- a/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
@@ -35,6 +35,7 @@
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.core.routing.RouteTarget;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.memory.BodyMemory;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.support.TestInstallation;
 import org.dogwoodwood.node.support.TestNode;
@@ -223,11 +224,18 @@
             var vertx = installation.vertx();
             PeerIdentity identity = new PeerIdentity(NodeId.of(name), 1, Optional.empty());
             EventLog log = EventLog.create();
-            PeerServer server = PeerServer.create(vertx, identity, PeerTimings.DEFAULT, log);
+            BodyMemory memory = BodyMemory.of(32 << 20);
+            PeerServer server =
+                    PeerServer.create(vertx, identity, PeerTimings.DEFAULT, memory, log);
             port = Waiting.get(server.start(Endpoint.of("127.0.0.1", 0)));
             PeerPool pool =
                     PeerPool.create(
-                            vertx, vertx.getOrCreateContext(), identity, PeerTimings.DEFAULT, log);
+                            vertx,
+                            vertx.getOrCreateContext(),
+                            identity,
+                            PeerTimings.DEFAULT,
+                            memory,
+                            log);
             transport = DefaultPeerTransport.create(pool, server);
         }
 
--- a/node/src/test/java/org/dogwoodwood/node/support/TestInstallation.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/TestInstallation.java
@@ -29,6 +29,7 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final List<TestNode> nodes = new ArrayList<>();
     private Optional<String> secret = Optional.empty();
+    private long bodyMemoryBytes = 32 << 20;
 
     public Vertx vertx() {
         return vertx;
@@ -38,13 +39,18 @@
         secret = Optional.of(value);
     }
 
+    /** Sets the memory for bodies of the nodes that are started next. */
+    public void setBodyMemoryBytes(long value) {
+        bodyMemoryBytes = value;
+    }
+
     public TestTarget startTarget() {
         return TestTarget.start(vertx);
     }
 
     /** Starts a node without a target. */
     public TestNode startIngress(String name) {
-        return add(TestNode.start(vertx, name, 1, 0, Optional.empty(), secret));
+        return add(TestNode.start(vertx, name, 1, 0, Optional.empty(), secret, bodyMemoryBytes));
     }
 
     /** Starts a node beside a target and waits until its guard has polled the target. */
@@ -54,7 +60,14 @@
 
     public TestNode startGuard(String name, long incarnation, int peerPort, TestTarget target) {
         TestNode node =
-                TestNode.start(vertx, name, incarnation, peerPort, Optional.of(target), secret);
+                TestNode.start(
+                        vertx,
+                        name,
+                        incarnation,
+                        peerPort,
+                        Optional.of(target),
+                        secret,
+                        bodyMemoryBytes);
         add(node);
         // The guard polls its target even before it has a lease, although it starts no calls yet.
         Waiting.until(
--- a/node/src/test/java/org/dogwoodwood/node/support/TestNode.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/TestNode.java
@@ -9,6 +9,7 @@
 import org.dogwoodwood.node.Node;
 import org.dogwoodwood.node.NodeComponents;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.memory.BodyMemory;
 import org.dogwoodwood.node.settings.Budgets;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.settings.NodeSettings;
@@ -33,7 +34,8 @@
             long incarnation,
             int peerPort,
             Optional<TestTarget> target,
-            Optional<String> secret) {
+            Optional<String> secret,
+            long bodyMemoryBytes) {
         StubControlPlane control = new StubControlPlane();
         NodeSettings settings =
                 new NodeSettings(
@@ -56,7 +58,8 @@
                         vertx,
                         settings,
                         incarnation,
-                        NodeComponents.of(context -> control),
+                        NodeComponents.of(context -> control)
+                                .withBodyMemory(BodyMemory.of(bodyMemoryBytes)),
                         EventLog.create());
         Waiting.get(node.start());
         return new TestNode(node, control);
