Give a started call only to the request that was decoded for it

The pipeline of a caller's connection gave started calls to dispatched requests by their place in the queue alone. But a head that is decoded and not dispatched, or the reverse, would have given callers the answer to another request.

Each dispatched request must now have the header fields of the decoded request that is next; Vert.x takes them over without copying them. Otherwise the connection is closed without an answer, the calls that started early are cancelled, and REQUEST_OUT_OF_ORDER is logged.

--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -99,7 +99,7 @@
                                 pipeline.onClosed();
                             });
                 });
-        server.requestHandler(this::onRequest);
+        server.requestHandler(this::onHttp1Request);
         return listen(server, endpoint);
     }
 
@@ -116,7 +116,7 @@
         server.requestHandler(
                 request -> {
                     if (request.version() == HttpVersion.HTTP_2) {
-                        onRequest(request);
+                        serve(request, withoutPipelining(), Optional.empty());
                     } else {
                         refuseFraming(request, "The port is for HTTP/2 with prior knowledge.");
                     }
@@ -162,10 +162,38 @@
         return pending;
     }
 
-    private void onRequest(HttpServerRequest request) {
+    private void onHttp1Request(HttpServerRequest request) {
+        RequestPipeline pipeline = pipelines.get(request.connection());
+        if (pipeline == null) {
+            // The caller has disconnected.
+            return;
+        }
+        if (pipeline.isNext(request.headers())) {
+            serve(request, pipeline, pipeline.onDispatched());
+        } else {
+            closeOutOfOrder(request, pipeline);
+        }
+    }
+
+    // Any answer on this connection could be taken for the answer to another request.
+    private void closeOutOfOrder(HttpServerRequest request, RequestPipeline pipeline) {
+        log.write(
+                LogEvent.REQUEST_OUT_OF_ORDER,
+                "caller",
+                request.remoteAddress(),
+                "dispatched",
+                request.method() + " " + request.uri(),
+                "decoded",
+                pipeline.describeNext());
+        pipeline.onClosed();
+        request.connection().close();
+    }
+
+    private void serve(
+            HttpServerRequest request,
+            RequestPipeline pipeline,
+            Optional<PipelinedCall> pipelined) {
         pending++;
-        RequestPipeline pipeline = pipelineOf(request);
-        Optional<PipelinedCall> pipelined = pipeline.onDispatched();
         PendingRequest pendingRequest = new PendingRequest(request, pipeline);
         request.response().closeHandler(ignored -> pendingRequest.onClosed());
         request.response().endHandler(ignored -> pendingRequest.onClosed());
@@ -188,9 +216,8 @@
     }
 
     // HTTP/2 has a stream for each request, so its requests do not wait for earlier answers.
-    private RequestPipeline pipelineOf(HttpServerRequest request) {
-        RequestPipeline existing = pipelines.get(request.connection());
-        return existing == null ? new RequestPipeline(head -> Optional.empty()) : existing;
+    private static RequestPipeline withoutPipelining() {
+        return new RequestPipeline(head -> Optional.empty());
     }
 
     private Optional<PipelinedCall> startPipelined(RequestHead head) {
@@ -200,7 +227,6 @@
     }
 
     private void onInvalidRequest(HttpServerRequest request) {
-        pipelineOf(request).onDispatched();
         Throwable cause = request.decoderResult().cause();
         refuseFraming(request, cause == null ? "malformed" : String.valueOf(cause.getMessage()));
     }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/RequestPipeline.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/RequestPipeline.java
@@ -1,6 +1,7 @@
 package org.dogwoodwood.node.ingress;
 
 import io.netty.handler.codec.http.HttpRequest;
+import io.vertx.core.MultiMap;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -13,6 +14,9 @@
  * <p>Vert.x dispatches such a request only when the answers to the earlier ones have been written.
  * The call of an idempotent request starts as soon as the request is decoded, so that a slow answer
  * does not delay the work of later requests; only their answers wait.
+ *
+ * <p>Requests are dispatched in the order in which they are decoded. Since a caller would otherwise
+ * get the answer to another request, {@link #isNext} checks this for each of them.
  */
 final class RequestPipeline {
 
@@ -20,7 +24,7 @@
     private static final int MAX_PIPELINED_CALLS = 16;
 
     private final Function<RequestHead, Optional<PipelinedCall>> starter;
-    private final Deque<Optional<PipelinedCall>> undispatched = new ArrayDeque<>();
+    private final Deque<DecodedRequest> undispatched = new ArrayDeque<>();
     private int unanswered;
 
     /**
@@ -39,16 +43,33 @@
     void onHead(HttpRequest request) {
         boolean mayStartEarly = unanswered > 0 && undispatched.size() < MAX_PIPELINED_CALLS;
         unanswered++;
-        undispatched.add(
+        Optional<PipelinedCall> call =
                 mayStartEarly && request.decoderResult().isSuccess()
                         ? RequestHead.of(request).filter(RequestHead::hasNoBody).flatMap(starter)
-                        : Optional.empty());
+                        : Optional.empty();
+        undispatched.add(new DecodedRequest(request, call));
+    }
+
+    /**
+     * Returns whether a dispatched request is the first decoded one that was not dispatched yet.
+     *
+     * @param headers the header fields of the dispatched request, which Vert.x takes over from the
+     *     decoder without copying them
+     */
+    boolean isNext(MultiMap headers) {
+        DecodedRequest next = undispatched.peek();
+        return next != null && next.hasHeaders(headers);
+    }
+
+    /** Returns method and path of the request that must be dispatched next, for the log. */
+    String describeNext() {
+        DecodedRequest next = undispatched.peek();
+        return next == null ? "none" : next.request().method() + " " + next.request().uri();
     }
 
     /** Records that the next request was dispatched, and returns its call if it has started. */
     Optional<PipelinedCall> onDispatched() {
-        Optional<PipelinedCall> next = undispatched.poll();
-        return next == null ? Optional.empty() : next;
+        return undispatched.remove().call();
     }
 
     /** Records that the answer to a request was written. */
@@ -58,12 +79,29 @@
 
     /** Returns whether a call has started whose request has not been dispatched yet. */
     boolean hasUndispatchedCalls() {
-        return undispatched.stream().anyMatch(Optional::isPresent);
+        return undispatched.stream().anyMatch(request -> request.call().isPresent());
     }
 
     /** Cancels the calls whose requests were not dispatched before the caller disconnected. */
     void onClosed() {
-        undispatched.forEach(call -> call.ifPresent(started -> started.call().cancel()));
+        undispatched.forEach(DecodedRequest::cancel);
         undispatched.clear();
     }
+
+    /**
+     * A decoded request that was not dispatched yet.
+     *
+     * @param request the request as it was decoded
+     * @param call its call if it has started
+     */
+    private record DecodedRequest(HttpRequest request, Optional<PipelinedCall> call) {
+
+        boolean hasHeaders(Object headers) {
+            return request.headers() == headers;
+        }
+
+        void cancel() {
+            call.ifPresent(started -> started.call().cancel());
+        }
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -41,6 +41,10 @@
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
+    REQUEST_OUT_OF_ORDER(
+            403,
+            Severity.ERROR,
+            "A request was dispatched out of order, and its connection is closed."),
 
     CALL_REFUSED(451, Severity.INFO, "The node refused a call, which was not run."),
     CALL_RETRIED(452, Severity.INFO, "A call goes to another target."),
--- a/node/src/test/java/org/dogwoodwood/node/support/TestTarget.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/TestTarget.java
@@ -15,7 +15,8 @@
 /**
  * A target whose paths answer in different ways: /echo at once, /slow after a delay, /held on
  * demand, /never not at all, /big with a large body, /fail with an error, /break and /truncate by
- * closing the connection.
+ * closing the connection, /numbered with its query as the body, with the status and after the delay
+ * that the query names.
  */
 public final class TestTarget {
 
@@ -134,6 +135,15 @@
         request.body().onSuccess(body -> answer(request, body));
     }
 
+    private void answerNumbered(HttpServerRequest request) {
+        HttpServerResponse response = request.response();
+        response.setStatusCode(Integer.parseInt(request.getParam("status")));
+        response.putHeader("X-Number", request.getParam("number"));
+        long millis = Long.parseLong(request.getParam("millis"));
+        vertx.timer(Math.max(1, millis), TimeUnit.MILLISECONDS)
+                .onSuccess(ignored -> response.end(request.query()));
+    }
+
     private void onClosed(HttpServerRequest request) {
         if (!request.response().ended()) {
             aborted.incrementAndGet();
@@ -157,6 +167,7 @@
                 request.response().putHeader("Content-Length", "1000").write("only a part");
                 vertx.setTimer(20, ignored -> request.connection().close());
             }
+            case "/numbered" -> answerNumbered(request);
             case "/fail" -> request.response().setStatusCode(500).end("failed");
             case "/never" -> vertx.setTimer(TimeUnit.MINUTES.toMillis(1), ignored -> {});
             default ->
