Announce the close of a draining connection with its last answer

Callers of a stopping node saw Connection: close in the answer to a request although requests that they had sent behind it were still served. A caller that follows HTTP doesn't read the later answers and sends those requests again on another connection, so that one request, also one that is not idempotent, ran twice: in the test, two POSTs behind a slow GET ran and were answered behind an answer with Connection: close.

Cause: only requests whose calls had started early kept the announcement back, and requests with a body never start early. Now every request that has been decoded does: the header is in the last of the three answers alone. A request that arrives later is still served, for callers that use their connection until it is closed.

--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -311,8 +311,8 @@
             boolean unread = !request.isEnded();
             boolean isHttp1 = request.version() != HttpVersion.HTTP_2;
             // The rest of the body would be parsed as the next request. While draining, the
-            // connection stays open for pipelined calls that have started after this request.
-            boolean closing = unread || (draining && !pipeline.hasUndispatchedCalls());
+            // connection stays open for requests that arrived after this one.
+            boolean closing = unread || (draining && !pipeline.hasUndispatchedRequests());
             if (closing && isHttp1) {
                 request.response().putHeader("Connection", "close");
             }
@@ -373,7 +373,7 @@
 
         private void closeIfDraining() {
             if (draining
-                    && !pipeline.hasUndispatchedCalls()
+                    && !pipeline.hasUndispatchedRequests()
                     && request.version() != HttpVersion.HTTP_2) {
                 request.response().putHeader("Connection", "close");
             }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/RequestPipeline.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/RequestPipeline.java
@@ -88,9 +88,9 @@
         return closing;
     }
 
-    /** Returns whether a call has started whose request has not been dispatched yet. */
-    boolean hasUndispatchedCalls() {
-        return undispatched.stream().anyMatch(request -> request.call().isPresent());
+    /** Returns whether a decoded request has not been dispatched yet. */
+    boolean hasUndispatchedRequests() {
+        return !undispatched.isEmpty();
     }
 
     /** Cancels the calls whose requests were not dispatched before the caller disconnected. */
--- a/node/src/test/java/org/dogwoodwood/node/ingress/StoppingIngressTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/ingress/StoppingIngressTests.java
@@ -108,6 +108,30 @@
         assertThat(target.started()).isEqualTo(2);
     }
 
+    /**
+     * Guards against a request running although an earlier answer has told its caller to send it
+     * again on another connection.
+     */
+    @Test
+    void announcesTheCloseWithTheLastAnswerOfAPipeline() throws IOException {
+        TestNode ingress = installation.startIngress("ingress");
+        installation.setRoutes(guard);
+        String post = "POST /services/shop/echo HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n";
+        try (RawCaller caller = new RawCaller(ingress.node().callerPort())) {
+            caller.send(get("/slow", 6_000));
+            caller.send(post + "x" + post + "y");
+            Waiting.until("the first call runs", () -> target.started() == 1);
+            final Future<Void> stopped = ingress.node().stop();
+
+            String answers = caller.readAll();
+
+            assertThat(answers.split("HTTP/1.1 200 OK", -1)).hasSize(4);
+            assertThat(answers.split("Connection: close", -1)).hasSize(2);
+            assertThat(answers.indexOf("Connection: close")).isGreaterThan(answers.indexOf("x"));
+            Waiting.get(stopped);
+        }
+    }
+
     /** Sends one request per connection until the port is closed; returns the number of answers. */
     private static int callUntilClosed(TestNode ingress) {
         int answered = 0;
