--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -110,7 +110,7 @@
                                 pipeline.onClosed();
                             });
                 });
-        server.requestHandler(this::onRequest);
+        server.requestHandler(this::onHttp1Request);
         return listen(server, endpoint);
     }
 
@@ -127,7 +127,7 @@
         server.requestHandler(
                 request -> {
                     if (request.version() == HttpVersion.HTTP_2) {
-                        onRequest(request);
+                        serve(request, withoutPipelining(), Optional.empty());
                     } else {
                         refuseFraming(request, "The port is for HTTP/2 with prior knowledge.");
                     }
@@ -173,10 +173,38 @@
         return pending;
     }
 
-    private void onRequest(HttpServerRequest request) {
+    private void onHttp1Request(HttpServerRequest request) {
+        RequestPipeline pipeline = pipelines.get(request.connection());
+        if (pipeline == null || pipeline.isClosing()) {
+            // The caller has disconnected or will send the request on another connection.
+            return;
+        }
+        if (pipeline.isNext(request.headers())) {
+            serve(request, pipeline, pipeline.onDispatched());
+        } else {
+            closeOutOfOrder(request, pipeline);
+        }
+    }
+
+    // Any answer on this connection could be taken for the answer to another request.
+    private void closeOutOfOrder(HttpServerRequest request, RequestPipeline pipeline) {
+        log.write(
+                LogEvent.REQUEST_OUT_OF_ORDER,
+                "caller",
+                request.remoteAddress(),
+                "dispatched",
+                request.method() + " " + request.uri(),
+                "decoded",
+                pipeline.describeNext());
+        pipeline.onClosed();
+        request.connection().close();
+    }
+
+    private void serve(
+            HttpServerRequest request,
+            RequestPipeline pipeline,
+            Optional<PipelinedCall> pipelined) {
         pending++;
-        RequestPipeline pipeline = pipelineOf(request);
-        Optional<PipelinedCall> pipelined = pipeline.onDispatched();
         PendingRequest pendingRequest = new PendingRequest(request, pipeline);
         request.response().closeHandler(ignored -> pendingRequest.onClosed());
         request.response().endHandler(ignored -> pendingRequest.onClosed());
@@ -199,9 +227,8 @@
     }
 
     // HTTP/2 has a stream for each request, so its requests do not wait for earlier answers.
-    private RequestPipeline pipelineOf(HttpServerRequest request) {
-        RequestPipeline existing = pipelines.get(request.connection());
-        return existing == null ? new RequestPipeline(head -> Optional.empty()) : existing;
+    private static RequestPipeline withoutPipelining() {
+        return new RequestPipeline(head -> Optional.empty());
     }
 
     private Optional<PipelinedCall> startPipelined(RequestHead head) {
@@ -211,7 +238,6 @@
     }
 
     private void onInvalidRequest(HttpServerRequest request) {
-        pipelineOf(request).onDispatched();
         Throwable cause = request.decoderResult().cause();
         refuseFraming(request, cause == null ? "malformed" : String.valueOf(cause.getMessage()));
     }
@@ -298,11 +324,14 @@
             boolean unread = !request.isEnded();
             boolean isHttp1 = request.version() != HttpVersion.HTTP_2;
             // The rest of the body would be parsed as the next request. While draining, the
-            // connection stays open for pipelined calls that have started after this request.
-            boolean closing = unread || (draining && !pipeline.hasUndispatchedCalls());
+            // connection stays open for requests that arrived after this one.
+            boolean closing = unread || (draining && !pipeline.hasUndispatchedRequests());
             if (closing && isHttp1) {
                 request.response().putHeader("Connection", "close");
             }
+            if (unread) {
+                pipeline.onClosing();
+            }
             Future<Void> written = protocol.writeError(request, code, detail);
             if (unread && isHttp1) {
                 LingeringClose.start(vertx, request, written);
@@ -351,7 +380,7 @@
 
         private void closeIfDraining() {
             if (draining
-                    && !pipeline.hasUndispatchedCalls()
+                    && !pipeline.hasUndispatchedRequests()
                     && request.version() != HttpVersion.HTTP_2) {
                 request.response().putHeader("Connection", "close");
             }
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -47,6 +47,10 @@
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
     BODY_MEMORY_USED_UP(
             403, Severity.WARNING, "There is no memory for a body; its sender gets a refusal."),
+    REQUEST_OUT_OF_ORDER(
+            404,
+            Severity.ERROR,
+            "A request was dispatched out of order, and its connection is closed."),
 
     CALL_REFUSED(451, Severity.INFO, "The node refused a call, which was not run."),
     CALL_RETRIED(452, Severity.INFO, "A call goes to another target."),
