--- a/soak/src/main/java/org/dogwoodwood/soak/AnswerLog.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/AnswerLog.java
@@ -11,9 +11,17 @@
 
     private final Map<String, List<Run>> byId = new HashMap<>();
     private final Map<String, Run> byStamp = new HashMap<>();
+    private int arrivals;
+
+    /** Counts a request; returns its position among those that all targets received. */
+    synchronized int addArrival() {
+        arrivals++;
+        return arrivals;
+    }
 
     /** Adds what a target did with a request, and gives its answer a fresh stamp. */
     synchronized Run add(
+            int arrival,
             String id,
             String target,
             int connection,
@@ -22,7 +30,7 @@
             AnswerEnding ending) {
         int order = byStamp.size() + 1;
         String stamp = target + "." + order;
-        Run run = new Run(order, id, target, connection, status, rejected, stamp, ending);
+        Run run = new Run(order, arrival, id, target, connection, status, rejected, stamp, ending);
         byStamp.put(stamp, run);
         byId.computeIfAbsent(id, ignored -> new ArrayList<>()).add(run);
         return run;
--- a/soak/src/main/java/org/dogwoodwood/soak/Run.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/Run.java
@@ -4,6 +4,7 @@
  * What a target did with one request, as told by the target.
  *
  * @param order the position among the answers of all targets
+ * @param arrival the position of the request among those that all targets received
  * @param id the id of the request
  * @param target the name of the target
  * @param connection the number of the connection to the target
@@ -14,6 +15,7 @@
  */
 record Run(
         int order,
+        int arrival,
         String id,
         String target,
         int connection,
--- a/soak/src/main/java/org/dogwoodwood/soak/TargetConnection.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/TargetConnection.java
@@ -61,6 +61,7 @@
 
     private Run execute(HttpMessage request, String id, AnswerPlan plan)
             throws InterruptedException {
+        int arrival = target.log().addArrival();
         boolean rejected = plan.rejected() || !target.takeSlot();
         int status = UNAVAILABLE;
         if (!rejected) {
@@ -70,7 +71,8 @@
             target.freeSlot();
         }
         target.counts().add("target: " + (rejected ? "rejected" : "ran, " + status));
-        return target.log().add(id, target.name(), number, status, rejected, plan.ending());
+        return target.log()
+                .add(arrival, id, target.name(), number, status, rejected, plan.ending());
     }
 
     private static int deadlineMillis(HttpMessage request) {
