--- a/soak/src/main/java/org/dogwoodwood/soak/AnswerLog.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/AnswerLog.java
@@ -2,23 +2,32 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** What all targets did, in the order in which they finished it. */
 final class AnswerLog {
 
     private final Map<String, List<Run>> byId = new HashMap<>();
     private final Map<String, Run> byStamp = new HashMap<>();
+    private final Set<String> arrivedIds = new HashSet<>();
     private int arrivals;
 
     /** Counts a request; returns its position among those that all targets received. */
-    synchronized int addArrival() {
+    synchronized int addArrival(String id) {
+        arrivedIds.add(id);
         arrivals++;
         return arrivals;
     }
 
+    /** Returns whether a request with an id has reached a target. */
+    synchronized boolean hasArrived(String id) {
+        return arrivedIds.contains(id);
+    }
+
     /** Adds what a target did with a request, and gives its answer a fresh stamp. */
     synchronized Run add(
             int arrival,
--- a/soak/src/main/java/org/dogwoodwood/soak/CheckingClient.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/CheckingClient.java
@@ -102,7 +102,7 @@
         if (!unread.isEmpty()) {
             List<ClientRequest> batch = List.copyOf(unread);
             unread.clear();
-            evidence.counts().add("client: unread requests sent again");
+            evidence.addSentAgain(batch);
             return batch;
         }
         if (draw(UNSAFE_PERCENT)) {
--- a/soak/src/main/java/org/dogwoodwood/soak/Evidence.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/Evidence.java
@@ -7,11 +7,13 @@
 final class Evidence {
 
     private final Counts counts;
+    private final AnswerLog log;
     private final List<ReceivedAnswer> answers = new ArrayList<>();
     private final List<Violation> violations = new ArrayList<>();
 
-    Evidence(Counts counts) {
+    Evidence(Counts counts, AnswerLog log) {
         this.counts = counts;
+        this.log = log;
     }
 
     Counts counts() {
@@ -23,6 +25,17 @@
         counts.add("client: " + (answer.unsafe() ? "unsafe " : "safe ") + answer.status());
     }
 
+    /** Counts requests that a client sends again with their ids, as it takes them as unread. */
+    void addSentAgain(List<ClientRequest> requests) {
+        for (ClientRequest request : requests) {
+            boolean arrived = log.hasArrived(request.id());
+            counts.add(
+                    "client: unread request sent again, "
+                            + (arrived ? "had" : "had not")
+                            + " reached a target");
+        }
+    }
+
     /** Adds a violation that a client saw on its connection. */
     synchronized void add(Violation violation) {
         violations.add(violation);
--- a/soak/src/main/java/org/dogwoodwood/soak/Soak.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/Soak.java
@@ -31,8 +31,8 @@
     private final HttpClient client = HttpClient.newHttpClient();
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
     private final Counts counts = new Counts();
-    private final Evidence evidence = new Evidence(counts);
     private final AnswerLog log = new AnswerLog();
+    private final Evidence evidence = new Evidence(counts, log);
     private final List<SoakVm> vms = new ArrayList<>();
     private final List<StutteringTarget> targets = new ArrayList<>();
 
--- a/soak/src/main/java/org/dogwoodwood/soak/TargetConnection.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/TargetConnection.java
@@ -61,7 +61,7 @@
 
     private Run execute(HttpMessage request, String id, AnswerPlan plan)
             throws InterruptedException {
-        int arrival = target.log().addArrival();
+        int arrival = target.log().addArrival(id);
         boolean rejected = plan.rejected() || !target.takeSlot();
         int status = UNAVAILABLE;
         if (!rejected) {
