--- a/soak/src/main/java/org/dogwoodwood/soak/AnswerPlan.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/AnswerPlan.java
@@ -12,6 +12,7 @@
  * @param ending how the answer is sent
  * @param copy when it is sent for the second time
  * @param copyMillis after how long a late copy is sent
+ * @param cutCopyBytes after how many bytes a cut copy ends
  */
 record AnswerPlan(
         int runMillis,
@@ -20,7 +21,8 @@
         BodyFraming framing,
         AnswerEnding ending,
         AnswerCopy copy,
-        int copyMillis) {
+        int copyMillis,
+        int cutCopyBytes) {
 
     private static final int PERCENT = 100;
 
@@ -42,6 +44,10 @@
 
     private static final int COPY_PERCENT = 10;
     private static final int MAX_COPY_MILLIS = 200;
+    private static final int CUT_COPY_PERCENT = 3;
+
+    // The status line and a part of the first field.
+    private static final int MAX_CUT_COPY_BYTES = 40;
 
     private static final int CHUNKED_PERCENT = 20;
     private static final int UNTIL_CLOSE_PERCENT = 5;
@@ -67,7 +73,8 @@
                 framing,
                 ending,
                 copy,
-                random.nextInt(MAX_COPY_MILLIS + 1));
+                random.nextInt(MAX_COPY_MILLIS + 1),
+                random.nextInt(MAX_CUT_COPY_BYTES) + 1);
     }
 
     private static int drawStatus(SplittableRandom random) {
@@ -108,8 +115,14 @@
     }
 
     private static AnswerCopy drawCopy(SplittableRandom random, boolean forNextAttempt) {
-        int kind = random.nextInt(PERCENT) / COPY_PERCENT;
-        return switch (kind) {
+        int die = random.nextInt(PERCENT);
+        if (die >= PERCENT - CUT_COPY_PERCENT) {
+            return AnswerCopy.CUT_AT_ONCE;
+        }
+        if (die >= PERCENT - 2 * CUT_COPY_PERCENT) {
+            return AnswerCopy.CUT_BEFORE_NEXT_ANSWER;
+        }
+        return switch (die / COPY_PERCENT) {
             case 0 -> AnswerCopy.AT_ONCE;
             case 1 -> AnswerCopy.LATE;
             case 2 -> AnswerCopy.BEFORE_NEXT_ANSWER;
--- a/soak/src/main/java/org/dogwoodwood/soak/TargetConnection.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/TargetConnection.java
@@ -127,6 +127,9 @@
         if (plan.copy() == AnswerCopy.BEFORE_NEXT_ANSWER) {
             heldForNextAnswer = answer;
         }
+        if (plan.copy() == AnswerCopy.CUT_BEFORE_NEXT_ANSWER) {
+            heldForNextAnswer = Arrays.copyOf(answer, plan.cutCopyBytes());
+        }
         write(answer);
         if (plan.framing() == BodyFraming.UNTIL_CLOSE) {
             socket.close();
@@ -135,6 +138,10 @@
             target.counts().add("target: copy at once");
             write(answer);
         }
+        if (plan.copy() == AnswerCopy.CUT_AT_ONCE) {
+            target.counts().add("target: cut copy at once");
+            write(Arrays.copyOf(answer, plan.cutCopyBytes()));
+        }
         if (plan.copy() == AnswerCopy.LATE) {
             var unused =
                     target.lateCopies()
