Refuse answers with an unknown transfer coding or status; log the state of targets in a class of its own

A target's answer with 'Transfer-Encoding: gzip, chunked' reached callers as a success with the coded body, and one with the status 2000 as it was. Both end as broken now: three more cases of AnswerFramingTests. The checks of a head move to ResponseHeadCheck.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -52,6 +52,7 @@
     private final UnaryOperator<String> healthPathOf;
     private final MeasurementBudget budget;
     private final EventLog log;
+    private final TargetStateLog stateLog;
     private final NodeMetrics metrics;
     private final Listener listener;
     // Kept when the target changes its address or connections.
@@ -89,6 +90,7 @@
         this.healthPathOf = healthPathOf;
         this.budget = budget;
         this.log = log;
+        this.stateLog = new TargetStateLog(log);
         this.metrics = metrics;
         this.listener = listener;
     }
@@ -133,7 +135,7 @@
         }
         if (changed) {
             changeCount++;
-            logAnnouncement(next);
+            stateLog.onAnnounced(next);
         }
         if (protocol.announcementProvesLiveness()) {
             onLiveAnnouncement(next);
@@ -143,21 +145,6 @@
         }
     }
 
-    private void logAnnouncement(TargetAnnouncement next) {
-        log.write(
-                LogEvent.TARGET_ANNOUNCED,
-                "service",
-                next.service(),
-                "address",
-                next.address(),
-                "slots",
-                next.slots(),
-                "cold",
-                next.cold(),
-                "draining",
-                next.draining());
-    }
-
     private void onLiveAnnouncement(TargetAnnouncement next) {
         failedPolls = 0;
         lastAliveNanos = System.nanoTime();
@@ -170,7 +157,7 @@
     }
 
     private void onRestarted() {
-        log.write(LogEvent.TARGET_CRASHED, "address", announcement.address());
+        stateLog.write(LogEvent.TARGET_CRASHED, announcement);
         goDown();
         listener.onCrash();
     }
@@ -313,7 +300,7 @@
                 tick();
             }
             case MALFORMED -> {
-                log.write(LogEvent.POLL_MALFORMED, "address", announcement.address());
+                stateLog.write(LogEvent.POLL_MALFORMED, announcement);
                 onFailedPoll();
             }
             case FAILING -> onUnhealthy();
@@ -332,14 +319,7 @@
 
     private void onReplaced(String found) {
         replaced = true;
-        log.write(
-                LogEvent.TARGET_REPLACED,
-                "address",
-                announcement.address(),
-                "instance",
-                announcement.instance().orElse(""),
-                "found",
-                found);
+        stateLog.onReplaced(announcement, found);
         if (state != TargetState.DOWN) {
             goDown();
             listener.onCrash();
@@ -386,14 +366,14 @@
     private void onFailedPoll() {
         failedPolls++;
         if (failedPolls >= FAILED_POLLS_UNTIL_DOWN && state != TargetState.DOWN) {
-            log.write(LogEvent.TARGET_DOWN, "address", announcement.address(), "reason", "polls");
+            stateLog.onDown(announcement, "polls");
             goDown();
         }
     }
 
     private void onUnreachable() {
         if (state != TargetState.DOWN) {
-            log.write(LogEvent.TARGET_DOWN, "address", announcement.address(), "reason", "refused");
+            stateLog.onDown(announcement, "refused");
             goDown();
             listener.onCrash();
         }
@@ -410,12 +390,7 @@
         if (state == TargetState.DOWN) {
             // The target has lost its warm state.
             incarnation++;
-            log.write(
-                    LogEvent.TARGET_UP,
-                    "address",
-                    announcement.address(),
-                    "incarnation",
-                    incarnation);
+            stateLog.onUp(announcement, incarnation);
             publishCapacity();
         }
     }
@@ -429,10 +404,10 @@
             return;
         }
         if (turnedCold) {
-            log.write(LogEvent.TARGET_COLD, "address", announcement.address());
+            stateLog.write(LogEvent.TARGET_COLD, announcement);
         }
         if (turnedDraining) {
-            log.write(LogEvent.TARGET_DRAINING, "address", announcement.address());
+            stateLog.write(LogEvent.TARGET_DRAINING, announcement);
         }
         publishCapacity();
     }
--- a/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
@@ -9,6 +9,14 @@
         super(message);
     }
 
+    static InvalidResponseException status(int status) {
+        return new InvalidResponseException("the status " + status + " is not defined by HTTP");
+    }
+
+    static InvalidResponseException coding(String coding) {
+        return new InvalidResponseException("the transfer coding '" + coding + "' is unknown");
+    }
+
     static InvalidResponseException joinedHeads() {
         return new InvalidResponseException("the head of the response consists of parts of two");
     }
--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
@@ -7,14 +7,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.Map;
-import java.util.regex.Pattern;
+import java.util.Optional;
 
-/** Rejects joined heads and partial bodies, and tells whether the decoder is between responses. */
+/** Rejects invalid heads and partial bodies, and tells whether the decoder is between responses. */
 final class ResponseMessageHandler extends ChannelDuplexHandler {
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}");
-
     private boolean betweenResponses = true;
     private boolean requestWritten;
     private boolean closedHere;
@@ -70,9 +67,10 @@
         if (message instanceof HttpResponse response) {
             betweenResponses = false;
             interim = InterimResponses.isInterim(response.status().code());
-            if (isJoined(response)) {
+            Optional<InvalidResponseException> fault = ResponseHeadCheck.faultOf(response);
+            if (fault.isPresent()) {
                 ReferenceCountUtil.release(message);
-                context.fireExceptionCaught(InvalidResponseException.joinedHeads());
+                context.fireExceptionCaught(fault.get());
                 return;
             }
         }
@@ -94,21 +92,4 @@
     private boolean isCutOff(ChannelHandlerContext context) {
         return !context.channel().isActive() && (closedHere || !requestWritten);
     }
-
-    /** Returns whether a status line stands inside the head, after a part of another head. */
-    private static boolean isJoined(HttpResponse response) {
-        if (containsStatusLine(response.status().reasonPhrase())) {
-            return true;
-        }
-        for (Map.Entry<String, String> header : response.headers()) {
-            if (containsStatusLine(header.getValue())) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private static boolean containsStatusLine(String text) {
-        return text.contains("HTTP/1.") && STATUS_LINE.matcher(text).find();
-    }
 }
--- a/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
@@ -94,6 +94,11 @@
         CHUNKS_AND_LENGTH_CUT_OFF(
                 BROKEN, OK + CHUNKED + FIVE + "2\r\nwh\r\n", ScriptedTarget.CLOSE),
 
+        CODING_UNKNOWN(
+                BROKEN, OK + "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+        STATUS_UNKNOWN(BROKEN, "HTTP/1.1 2000 OK\r\n" + ID + FIVE + "whole"),
+        STATUS_TOO_HIGH(BROKEN, "HTTP/1.1 600 OK\r\n" + ID + FIVE + "whole"),
+
         TWICE(SUCCEEDED, WHOLE + WHOLE),
         TWICE_IN_PARTS(SUCCEEDED, WHOLE, WHOLE),
         TWICE_THE_SECOND_LATER(SUCCEEDED, WHOLE, ScriptedTarget.PAUSE, WHOLE),
