--- a/soak/src/main/java/org/dogwoodwood/soak/NodeDaemon.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/NodeDaemon.java
@@ -29,7 +29,7 @@
     private final Path settings;
     private final Path log;
     private final String classPath;
-    private Process process;
+    private volatile Process process;
 
     NodeDaemon(Path settings, Path log, String classPath) {
         this.settings = settings;
@@ -56,6 +56,14 @@
         }
     }
 
+    /** Ends the process without notice and does not wait, for use while this process ends. */
+    void killNow() {
+        Process running = process;
+        if (running != null) {
+            running.destroyForcibly();
+        }
+    }
+
     /** Ends the process as the platform does: SIGTERM, and SIGKILL after the time of grace. */
     synchronized void stop() throws InterruptedException {
         process.destroy();
--- a/soak/src/main/java/org/dogwoodwood/soak/ReceivedAnswer.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/ReceivedAnswer.java
@@ -2,6 +2,7 @@
 
 import java.net.ProtocolException;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * An answer as received by a client.
@@ -23,6 +24,10 @@
         Optional<String> stamp,
         boolean bodyMatches) {
 
+    private static final Set<Integer> PROMISES = Set.of(503, 429, 408, 421);
+    private static final int SUCCESS_CLASS = 2;
+    private static final int CLASS_SIZE = 100;
+
     static ReceivedAnswer of(ClientRequest request, String node, HttpMessage answer)
             throws ProtocolException {
         Optional<String> stamp = answer.field(PlatformNames.RESPONSE_STAMP);
@@ -40,11 +45,11 @@
     }
 
     boolean isSuccess() {
-        return status / 100 == 2;
+        return status / CLASS_SIZE == SUCCESS_CLASS;
     }
 
     /** Returns whether the status promises that the request has not run and never will. */
     boolean isPromise() {
-        return status == 503 || status == 429 || status == 408 || status == 421;
+        return PROMISES.contains(status);
     }
 }
--- a/soak/src/main/java/org/dogwoodwood/soak/Soak.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/Soak.java
@@ -74,7 +74,7 @@
             targets.add(
                     StutteringTarget.start(
                             vm.name(), vm.target().port(), options, log, counts, timers));
-            vm.node().start();
+            vm.startNode();
             var unused =
                     timers.scheduleAtFixedRate(
                             () -> vm.sendHeartbeat(client),
--- a/soak/src/main/java/org/dogwoodwood/soak/SoakVm.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/SoakVm.java
@@ -73,6 +73,12 @@
         return daemon;
     }
 
+    /** Starts the node; its process ends no later than this one. */
+    void startNode() throws IOException {
+        daemon.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::killNow));
+    }
+
     /** Sends a heartbeat; the next one follows whether or not it was acknowledged. */
     void sendHeartbeat(HttpClient client) {
         String heartbeat =
--- a/soak/src/main/java/org/dogwoodwood/soak/TargetConnection.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/TargetConnection.java
@@ -11,6 +11,7 @@
 /** A connection to a {@link StutteringTarget}, which serves one request at a time. */
 final class TargetConnection {
 
+    private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int TIMEOUT = 504;
     private static final int BAD_REQUEST = 400;
@@ -49,7 +50,7 @@
     private void serve(HttpMessage request) throws IOException, InterruptedException {
         String id = request.field(PlatformNames.REQUEST_ID).orElse(null);
         if (request.path().equals(PlatformNames.HEALTH_PATH)) {
-            write(BodyFraming.LENGTH.toBytes(head(200), "healthy"));
+            write(BodyFraming.LENGTH.toBytes(head(OK), "healthy"));
         } else if (id == null) {
             String fields = PlatformNames.NOT_EXECUTED + ": 1\r\n";
             write(BodyFraming.LENGTH.toBytes(head(BAD_REQUEST) + fields, ""));
