--- a/node/src/test/java/org/dogwoodwood/node/guard/SpeedWatchTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/SpeedWatchTests.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Context;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.codec.wire.RequestContent;
@@ -32,6 +35,7 @@
     private static final long STALE_NANOS = 100_000_000L;
 
     private final Vertx vertx = Vertx.vertx();
+    private final Context loop = vertx.getOrCreateContext();
     private final AtomicInteger polls = new AtomicInteger();
     private final AdmissionController admission =
             DefaultAdmissionController.create(
@@ -97,7 +101,7 @@
         GuardedCall call = call();
         long laterNanos = System.nanoTime() + STALE_NANOS;
 
-        assertThat(watch.delayIfSpeedIsStale(call, laterNanos)).isTrue();
+        assertThat(onLoop(() -> watch.delayIfSpeedIsStale(call, laterNanos))).isTrue();
         Waiting.until("the target has reported that it is slow", () -> admission.isHolding(now()));
         assertThat(polls.get()).isEqualTo(1);
         assertThat(watch.takeDelayed()).containsExactly(call);
@@ -125,6 +129,20 @@
         assertThat(watch.remove(call)).isFalse();
     }
 
+    /** Calls on one event loop, on which the poll cannot end before the call returns. */
+    private <T> T onLoop(Callable<T> action) {
+        Promise<T> result = Promise.promise();
+        loop.runOnContext(
+                ignored -> {
+                    try {
+                        result.complete(action.call());
+                    } catch (Exception e) {
+                        result.fail(e);
+                    }
+                });
+        return Waiting.get(result.future());
+    }
+
     private static long now() {
         return System.nanoTime();
     }
