--- a/cli/src/main/java/org/dogwoodwood/cli/http/SimpleHttpClient.java
+++ b/cli/src/main/java/org/dogwoodwood/cli/http/SimpleHttpClient.java
@@ -140,7 +140,10 @@
             vertx = Vertx.vertx();
             client =
                     vertx.createHttpClient(
-                            new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+                            new HttpClientOptions()
+                                    .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                                    // No bytes of an earlier answer can come before the next one.
+                                    .setKeepAlive(false));
         }
         return client;
     }
