--- a/node/src/test/java/org/dogwoodwood/node/peer/PeerChannelTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/peer/PeerChannelTests.java
@@ -32,6 +32,7 @@
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.core.routing.RouteTarget;
 import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.memory.BodyMemory;
 import org.dogwoodwood.node.support.Waiting;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -39,6 +40,8 @@
 /** Guards against answers that are cut off or late and attempts that are cancelled meanwhile. */
 class PeerChannelTests {
 
+    private static final long BODY_MEMORY_BYTES = 32 << 20;
+
     private final Vertx vertx = Vertx.vertx();
     private final Context context = vertx.getOrCreateContext();
     private final PeerPool pool =
@@ -47,6 +50,7 @@
                     context,
                     new PeerIdentity(NodeId.of("in"), 1, Optional.empty()),
                     PeerTimings.DEFAULT,
+                    BodyMemory.of(BODY_MEMORY_BYTES),
                     EventLog.create());
     private final AtomicInteger connections = new AtomicInteger();
     private final List<String> received = new CopyOnWriteArrayList<>();
