Let no response that was received before a request answer it

A request that waits for a connection is written in the callback that ends the response before it. The rest of the same read, such as a second copy of that response, then counted as its answer.

--- a/node/src/main/java/org/dogwoodwood/node/http/ForeignResponseFilter.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ForeignResponseFilter.java
@@ -72,6 +72,12 @@
             drop(message);
             return;
         }
+        if (message instanceof HttpResponse && exchange.hasEnded()) {
+            // A request may have been written when the response ended, but these bytes came before.
+            ReferenceCountUtil.release(message);
+            context.fireExceptionCaught(InvalidResponseException.beforeRequest());
+            return;
+        }
         noteOwnResponse(message);
         super.channelRead(context, message);
     }
--- a/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
@@ -12,4 +12,8 @@
     static InvalidResponseException joinedHeads() {
         return new InvalidResponseException("the head of the response consists of parts of two");
     }
+
+    static InvalidResponseException beforeRequest() {
+        return new InvalidResponseException("the response was received before its request was sent");
+    }
 }
