End the answer to HEAD at its head behind an interim response

Netty's decoder forgets the method of a request at an interim response. It then read a body behind the head: the call waited until its deadline, or took the beginning of a copy for the body.

--- a/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
@@ -14,6 +14,7 @@
     }
 
     static InvalidResponseException beforeRequest() {
-        return new InvalidResponseException("the response was received before its request was sent");
+        return new InvalidResponseException(
+                "the response was received before its request was sent");
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -17,6 +18,9 @@
 
     private boolean betweenResponses = true;
     private boolean requestWritten;
+    private boolean headRequested;
+    private boolean methodForgotten;
+    private boolean endedAfterHead;
     private boolean closedHere;
     private boolean interim;
     private boolean checking;
@@ -42,8 +46,9 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
             throws Exception {
-        if (message instanceof HttpRequest) {
+        if (message instanceof HttpRequest request) {
             requestWritten = false;
+            headRequested = request.method().equals(HttpMethod.HEAD);
         }
         if (message instanceof LastHttpContent) {
             ChannelPromise written = promise.unvoid();
@@ -67,6 +72,10 @@
             ReferenceCountUtil.release(message);
             return;
         }
+        if (endedAfterHead) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (message instanceof HttpResponse response) {
             betweenResponses = false;
             interim = InterimResponses.isInterim(response.status().code());
@@ -75,6 +84,12 @@
                 context.fireExceptionCaught(InvalidResponseException.joinedHeads());
                 return;
             }
+            if (headRequested && interim) {
+                methodForgotten = true;
+            } else if (methodForgotten) {
+                endAfterHead(context, response);
+                return;
+            }
         }
         if (message instanceof LastHttpContent) {
             betweenResponses = true;
@@ -87,6 +102,16 @@
         context.fireChannelRead(message);
     }
 
+    /**
+     * Ends the response to a HEAD request at its head. The decoder forgets the method of a request
+     * at an interim response and would read a body, so the connection cannot be used again.
+     */
+    private void endAfterHead(ChannelHandlerContext context, HttpResponse response) {
+        endedAfterHead = true;
+        context.fireChannelRead(response);
+        context.fireChannelRead(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
     /**
      * Returns whether a body without a length was ended by something else than the peer's orderly
      * close: by a close of this side, or by a reset that failed the writes of the request.
--- a/node/src/test/java/org/dogwoodwood/node/guard/EarlyBytesTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/EarlyBytesTests.java
@@ -51,6 +51,8 @@
         target = ScriptedTarget.start(lines -> List.of(HINTS + HEAD));
         TargetCalls calls = TargetCalls.to(target.address(), vertx);
         assertThat(TargetCalls.describe(calls.send("HEAD", "first"))).isEqualTo("200 ");
+        assertThat(TargetCalls.describe(calls.send("HEAD", "first"))).isEqualTo("REQUEST_REPEATED");
+        assertThat(TargetCalls.describe(calls.send("HEAD", "next"))).isEqualTo("TARGET_FAILED");
     }
 
     /** Guards against a copy that becomes the body of an answer to HEAD. */
