--- a/node/src/test/java/org/dogwoodwood/node/ingress/CallerInterfaceTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/ingress/CallerInterfaceTests.java
@@ -101,6 +101,17 @@
                 .contains("dogwoodwood_cancelled_calls_total 0");
     }
 
+    /** Guards against an answer to CONNECT, which has no body, in place of the target's answer. */
+    @Test
+    void refusesConnect() throws IOException {
+        try (RawCaller caller = new RawCaller(ingress.node().callerPort())) {
+            caller.send("CONNECT /services/shop/echo HTTP/1.1\r\nHost: a\r\n");
+            caller.send("Connection: close\r\n\r\n");
+            assertThat(caller.readAll()).startsWith("HTTP/1.1 400 ");
+        }
+        assertThat(target.started()).isZero();
+    }
+
     @Test
     void resolvesServiceByHost() throws IOException {
         for (String host : new String[] {"shop", "shop.internal:80", "SHOP.example"}) {
