--- a/node/src/main/java/org/dogwoodwood/node/ingress/RequestReader.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/RequestReader.java
@@ -119,6 +119,10 @@
         if (request.uri() == null || !request.uri().startsWith("/")) {
             throw badRequest("The request target must be a path.");
         }
+        if (request.method().equals("CONNECT")) {
+            // A successful answer to CONNECT has no body, whatever the target sends.
+            throw badRequest("The method CONNECT is not supported.");
+        }
     }
 
     private Future<byte[]> readBody(
