--- a/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
@@ -100,6 +100,7 @@
         FAILURE_THEN_SUCCESS(FAILED, FAILURE + WHOLE),
         SUCCESS_THEN_FAILURE(SUCCEEDED, WHOLE + FAILURE),
         FAILURE_THEN_SUCCESS_LATER(FAILED, FAILURE, ScriptedTarget.PAUSE, WHOLE),
+        NAME_OF_A_PROXY(SUCCEEDED, OK + "Via: HTTP/1.1 192.168.0.1\r\n" + FIVE + "whole"),
         HALF_HEAD_THEN_ANSWER(BROKEN, "HTTP/1.1 200 OK\r\n" + FAILURE, ScriptedTarget.CLOSE),
         CLOSE_ANNOUNCED(
                 SUCCEEDED, OK + "Connection: close\r\n" + FIVE + "whole", ScriptedTarget.CLOSE),
