Take no address of a proxy for a status line

The pattern of a status line matched the beginning of an IP address, so each answer with a field such as Via: HTTP/1.1 192.168.0.1 failed as joined from two.

--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
@@ -14,7 +14,7 @@
 /** Rejects joined heads and partial bodies, and tells whether the decoder is between responses. */
 final class ResponseMessageHandler extends ChannelDuplexHandler {
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}( |$)");
 
     private boolean betweenResponses = true;
     private boolean requestWritten;
