Let the target have the request before the client closes in AnswerFramingTests

In the first run of a JVM, a pause of 60 ms was too short for the request to be sent; the call then ended with NO_TARGET, rightly as not run, and the test failed once. It now waits for the request.

--- a/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.dogwoodwood.node.support.ScriptedTarget;
 import org.dogwoodwood.node.support.Waiting;
 import org.junit.jupiter.api.AfterEach;
@@ -181,8 +182,17 @@
     /** Guards against a partial body without a length that the end of the client completes. */
     @Test
     void answerThatTheClientClosesIsNotWhole() {
-        connect(List.of(OK + "\r\npart", ScriptedTarget.PAUSE, ScriptedTarget.PAUSE));
+        AtomicBoolean received = new AtomicBoolean();
+        target =
+                ScriptedTarget.start(
+                        lines -> {
+                            received.set(true);
+                            return List.of(
+                                    OK + "\r\npart", ScriptedTarget.PAUSE, ScriptedTarget.PAUSE);
+                        });
+        calls = TargetCalls.to(target.address(), vertx);
         Future<TargetResult> result = calls.start("GET", FIRST, new byte[0]);
+        Waiting.until("the target has the request", received::get);
         Waiting.sleep(ScriptedTarget.PAUSE_MILLIS);
         vertx.runOnContext(ignored -> calls.client().close());
 
