--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseHeadCheck.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseHeadCheck.java
@@ -13,7 +13,7 @@
     private static final int MIN_STATUS = 100;
     private static final int MAX_STATUS = 599;
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}( |$)");
 
     private ResponseHeadCheck() {}
 
--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -14,6 +15,9 @@
 
     private boolean betweenResponses = true;
     private boolean requestWritten;
+    private boolean headRequested;
+    private boolean methodForgotten;
+    private boolean endedAfterHead;
     private boolean closedHere;
     private boolean interim;
     private boolean checking;
@@ -39,8 +43,9 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
             throws Exception {
-        if (message instanceof HttpRequest) {
+        if (message instanceof HttpRequest request) {
             requestWritten = false;
+            headRequested = request.method().equals(HttpMethod.HEAD);
         }
         if (message instanceof LastHttpContent) {
             ChannelPromise written = promise.unvoid();
@@ -64,25 +69,51 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (message instanceof HttpResponse response) {
-            betweenResponses = false;
-            interim = InterimResponses.isInterim(response.status().code());
-            Optional<InvalidResponseException> fault = ResponseHeadCheck.faultOf(response);
-            if (fault.isPresent()) {
-                ReferenceCountUtil.release(message);
-                context.fireExceptionCaught(fault.get());
-                return;
-            }
+        boolean passed = !endedAfterHead;
+        if (passed && message instanceof HttpResponse response) {
+            passed = onHead(context, response);
         }
-        if (message instanceof LastHttpContent) {
-            betweenResponses = true;
-            if (!interim && isCutOff(context)) {
-                // The end of the connection fails the request.
-                ReferenceCountUtil.release(message);
-                return;
-            }
+        if (passed && message instanceof LastHttpContent) {
+            passed = onEnd(context);
+        }
+        if (passed) {
+            context.fireChannelRead(message);
+        } else {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    /** Returns whether the head may be passed on as it is. */
+    private boolean onHead(ChannelHandlerContext context, HttpResponse response) {
+        betweenResponses = false;
+        interim = InterimResponses.isInterim(response.status().code());
+        Optional<InvalidResponseException> fault = ResponseHeadCheck.faultOf(response);
+        if (fault.isPresent()) {
+            context.fireExceptionCaught(fault.get());
+            return false;
         }
-        context.fireChannelRead(message);
+        if (methodForgotten && !interim) {
+            endAfterHead(context, response);
+            return false;
+        }
+        methodForgotten |= headRequested && interim;
+        return true;
+    }
+
+    /** Returns whether the end belongs to a whole response; if not, the request fails. */
+    private boolean onEnd(ChannelHandlerContext context) {
+        betweenResponses = true;
+        return interim || !isCutOff(context);
+    }
+
+    /**
+     * Ends the response to a HEAD request at its head. The decoder forgets the method of a request
+     * at an interim response and would read a body, so the connection cannot be used again.
+     */
+    private void endAfterHead(ChannelHandlerContext context, HttpResponse response) {
+        endedAfterHead = true;
+        context.fireChannelRead(ReferenceCountUtil.retain(response));
+        context.fireChannelRead(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
     /**
