--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -51,9 +51,8 @@
     // Nodes at which an attempt failed for a reason other than load, so that queueing there cannot
     // help.
     private final Set<NodeId> unusable = new HashSet<>();
-    // Nodes whose target may have got the call. A target may repeat its answer late, in place of
-    // the
-    // answer to a further attempt of the same call, so it gets no such attempt.
+    // Nodes whose target may have got the call. It gets no further attempt, since it may repeat its
+    // first answer late, in place of the answer to that attempt.
     private final Set<NodeId> reached = new HashSet<>();
     private Optional<FinishedCall> unknownResult = Optional.empty();
     private int attemptsMade;
