Configuration: client accounts and public routes

Cause: calls have no identity beyond a class that the caller names, so neither quotas nor shares per client can be configured.

A document without accounts is encoded as before, so that earlier releases read it and compute the same hash, and earlier documents are decoded. No message shows a value in key_digests, since it may be a key in clear text. The reference test maps the two record components whose key has another name and still compares the complete lists.

--- a/codec/src/main/java/org/dogwoodwood/codec/configuration/ConfigurationJsonCodec.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/configuration/ConfigurationJsonCodec.java
@@ -9,10 +9,17 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.configuration.AccountDefinition;
+import org.dogwoodwood.core.configuration.AccountKey;
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.configuration.DataCentreDefinition;
@@ -25,9 +32,14 @@
  *
  * <p>The document contains the objects but not the version, which is derived from the position in
  * the log. Equal objects are encoded to equal documents, so documents can be compared by hash.
+ *
+ * <p>Accounts and public routes are left out of documents that have none, so that nodes of earlier
+ * releases can read those documents and compute the same hash.
  */
 public final class ConfigurationJsonCodec {
 
+    private static final String ACCOUNTS = "accounts";
+    private static final String PUBLIC_ACCESS = "public_access";
     private static final String IDEMPOTENT_METHODS = "idempotent_methods";
 
     private static final ObjectMapper MAPPER =
@@ -53,6 +65,7 @@
         for (JsonNode service : tree.get("services")) {
             sortMethods((ObjectNode) service);
         }
+        removeAbsent(tree);
         try {
             return MAPPER.writeValueAsString(MAPPER.treeToValue(tree, Object.class));
         } catch (JsonProcessingException e) {
@@ -79,7 +92,9 @@
      */
     public static Configuration decode(String document, long version) {
         try {
-            return MAPPER.readValue(document, Document.class).toConfiguration(version);
+            JsonNode tree = MAPPER.readTree(document);
+            addAbsent(tree);
+            return MAPPER.treeToValue(tree, Document.class).toConfiguration(version);
         } catch (JsonProcessingException | IllegalArgumentException | NullPointerException e) {
             throw new DogwoodwoodException(
                     ErrorCode.CONFIGURATION_SYNTAX,
@@ -96,12 +111,35 @@
         sorted.forEach(methods::add);
     }
 
+    private static void removeAbsent(ObjectNode tree) {
+        if (tree.get(ACCOUNTS).isEmpty()) {
+            tree.remove(ACCOUNTS);
+        }
+        for (JsonNode route : tree.get("routes")) {
+            if (!route.get(PUBLIC_ACCESS).booleanValue()) {
+                ((ObjectNode) route).remove(PUBLIC_ACCESS);
+            }
+        }
+    }
+
+    private static void addAbsent(JsonNode tree) {
+        if (tree instanceof ObjectNode document && !document.has(ACCOUNTS)) {
+            document.putObject(ACCOUNTS);
+        }
+        for (JsonNode route : tree.path("routes")) {
+            if (route instanceof ObjectNode object && !object.has(PUBLIC_ACCESS)) {
+                object.put(PUBLIC_ACCESS, false);
+            }
+        }
+    }
+
     private record Document(
             Map<String, ServiceDefinition> services,
             Map<String, DataCentreDefinition> dataCentres,
             Map<String, CallClassDefinition> classes,
             Map<String, PolicyDefinition> policies,
-            Map<String, RouteDefinition> routes) {
+            Map<String, RouteDefinition> routes,
+            Map<String, AccountDocument> accounts) {
 
         static Document of(Configuration configuration) {
             return new Document(
@@ -109,11 +147,52 @@
                     configuration.dataCentres(),
                     configuration.callClasses(),
                     configuration.policies(),
-                    configuration.routes());
+                    configuration.routes(),
+                    convert(configuration.accounts(), AccountDocument::of));
         }
 
         Configuration toConfiguration(long version) {
-            return new Configuration(version, services, dataCentres, classes, policies, routes);
+            return new Configuration(
+                    version,
+                    services,
+                    dataCentres,
+                    classes,
+                    policies,
+                    routes,
+                    convert(accounts, AccountDocument::toAccount));
+        }
+
+        private static <A, B> Map<String, B> convert(Map<String, A> map, Function<A, B> function) {
+            Map<String, B> result = new LinkedHashMap<>();
+            map.forEach((name, value) -> result.put(name, function.apply(value)));
+            return result;
+        }
+    }
+
+    /** An account in the document; without a class, {@code callClass} is empty. */
+    private record AccountDocument(
+            String name,
+            List<String> keyDigests,
+            String callClass,
+            double callsPerSecond,
+            int burst) {
+
+        static AccountDocument of(AccountDefinition account) {
+            return new AccountDocument(
+                    account.name(),
+                    account.keys().stream().map(AccountKey::digest).toList(),
+                    account.callClass().orElse(""),
+                    account.callsPerSecond(),
+                    account.burst());
+        }
+
+        AccountDefinition toAccount() {
+            return new AccountDefinition(
+                    name,
+                    keyDigests.stream().map(AccountKey::new).collect(Collectors.toSet()),
+                    callClass.isEmpty() ? Optional.empty() : Optional.of(callClass),
+                    callsPerSecond,
+                    burst);
         }
     }
 }
--- a/codec/src/main/java/org/dogwoodwood/codec/configuration/ConfigurationValueParser.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/configuration/ConfigurationValueParser.java
@@ -42,6 +42,8 @@
                             ? Optional.of(value.intValue())
                             : Optional.empty();
             case NUMBER -> value.isNumber() ? Optional.of(value.doubleValue()) : Optional.empty();
+            case BOOLEAN ->
+                    value.isBoolean() ? Optional.of(value.booleanValue()) : Optional.empty();
             case TEXT -> value.isTextual() ? Optional.of(value.textValue()) : Optional.empty();
             case TEXT_LIST -> textList(value);
         };
@@ -72,10 +74,15 @@
         return new ConfigurationProblem(
                 WRONG_TYPE,
                 location,
-                key.label() + " has the wrong type: " + value + ".",
+                key.label() + " has the wrong type" + shown(key, value) + ".",
                 "Write " + key.type().description() + ".");
     }
 
+    // An operator who writes a key in clear text must not find it in the output of a check.
+    private static String shown(ConfigurationKey key, JsonNode value) {
+        return key == ConfigurationKey.ACCOUNT_KEY_DIGESTS ? "" : ": " + value;
+    }
+
     private static Object defaultOf(ConfigurationKey key) {
         return key.defaultValue()
                 .orElseGet(() -> key.type() == ValueType.TEXT_LIST ? List.of() : "");
--- a/codec/src/main/java/org/dogwoodwood/codec/configuration/DraftBuilder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/configuration/DraftBuilder.java
@@ -5,7 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.configuration.AccountDefinition;
+import org.dogwoodwood.core.configuration.AccountKey;
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.configuration.ConfigurationDraft;
 import org.dogwoodwood.core.configuration.ConfigurationKey;
@@ -32,6 +36,7 @@
     private final List<DraftObject<CallClassDefinition>> callClasses = new ArrayList<>();
     private final List<DraftObject<PolicyDefinition>> policies = new ArrayList<>();
     private final List<DraftObject<RouteDefinition>> routes = new ArrayList<>();
+    private final List<DraftObject<AccountDefinition>> accounts = new ArrayList<>();
 
     DraftBuilder(NameSuggestions suggestions) {
         this.suggestions = suggestions;
@@ -62,6 +67,8 @@
                                     location));
             case POLICY -> policies.add(new DraftObject<>(toPolicy(name, reader), location));
             case ROUTE -> routes.add(new DraftObject<>(toRoute(name, reader, location), location));
+            case ACCOUNT ->
+                    accounts.add(new DraftObject<>(toAccount(name, reader, location), location));
             default -> throw new IllegalArgumentException("Unsupported object kind " + kind + ".");
         }
     }
@@ -84,7 +91,8 @@
     }
 
     ConfigurationDraft draft() {
-        return new ConfigurationDraft(services, dataCentres, callClasses, policies, routes);
+        return new ConfigurationDraft(
+                services, dataCentres, callClasses, policies, routes, accounts);
     }
 
     private static ServiceDefinition toService(String name, TypedValues values) {
@@ -150,7 +158,45 @@
                 values.integer(ConfigurationKey.ROUTE_TIMEOUT_MILLIS),
                 values.integer(ConfigurationKey.ROUTE_TARGET_LATENCY_MILLIS),
                 values.text(ConfigurationKey.ROUTE_CALL_CLASS),
-                values.integer(ConfigurationKey.ROUTE_MAX_ATTEMPTS));
+                values.integer(ConfigurationKey.ROUTE_MAX_ATTEMPTS),
+                values.flag(ConfigurationKey.ROUTE_PUBLIC));
+    }
+
+    private AccountDefinition toAccount(String name, TypedValues values, SourceLocation location) {
+        Set<AccountKey> keys = new TreeSet<>();
+        for (String text : values.textList(ConfigurationKey.ACCOUNT_KEY_DIGESTS)) {
+            if (!AccountKey.isDigest(text)) {
+                reportKeyDigest(
+                        name, location, ErrorCode.VALUE_OUT_OF_RANGE, "An entry is not a digest.");
+            } else if (!keys.add(new AccountKey(text))) {
+                reportKeyDigest(
+                        name, location, ErrorCode.DUPLICATE_OBJECT, "A digest occurs twice.");
+            }
+        }
+        String callClass = values.text(ConfigurationKey.ACCOUNT_CALL_CLASS);
+        return new AccountDefinition(
+                name,
+                keys,
+                callClass.isEmpty() ? Optional.empty() : Optional.of(callClass),
+                values.number(ConfigurationKey.ACCOUNT_CALLS_PER_SECOND),
+                values.integer(ConfigurationKey.ACCOUNT_BURST));
+    }
+
+    // The message does not contain the value, since it may be a key in clear text.
+    private void reportKeyDigest(
+            String account, SourceLocation location, ErrorCode code, String message) {
+        String label = ConfigurationKey.ACCOUNT_KEY_DIGESTS.label();
+        report(
+                new ConfigurationProblem(
+                        code,
+                        new ProblemLocation(
+                                location.file(),
+                                location.lineOf(label),
+                                ObjectKind.ACCOUNT.qualify(account),
+                                label),
+                        message,
+                        "Write the SHA-256 digest of each key once, as 64 lower-case hexadecimal"
+                                + " digits."));
     }
 
     private void reportInvalidRouteValue(
@@ -191,6 +237,10 @@
             return (String) byKey.get(key);
         }
 
+        boolean flag(ConfigurationKey key) {
+            return (Boolean) byKey.get(key);
+        }
+
         List<String> textList(ConfigurationKey key) {
             return ((List<?>) byKey.get(key)).stream().map(String.class::cast).toList();
         }
--- a/codec/src/test/java/org/dogwoodwood/codec/configuration/ConfigurationReaderTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/configuration/ConfigurationReaderTests.java
@@ -8,8 +8,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.configuration.AccountDefinition;
+import org.dogwoodwood.core.configuration.AccountKey;
 import org.dogwoodwood.core.configuration.CheckResult;
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.configuration.ConfigurationProblem;
@@ -82,6 +86,51 @@
     }
 
     /** Guards against an invalid route that silently drops calls or runs them twice. */
+    @Test
+    void accountsRoundTrip() throws IOException {
+        String digest = AccountKey.fromClearText("one").digest();
+        String text =
+                VALID
+                        + """
+                        [account.guides]
+                        key_digests = ["%s"]
+                        call_class = "default"
+                        calls_per_second = 2.5
+                        burst = 4
+                        """
+                                .formatted(digest);
+
+        Configuration configuration = read(text).configuration().orElseThrow();
+
+        assertThat(configuration.accounts().get("guides"))
+                .isEqualTo(
+                        new AccountDefinition(
+                                "guides",
+                                Set.of(new AccountKey(digest)),
+                                Optional.of("default"),
+                                2.5,
+                                4));
+        assertThat(read(ConfigurationWriter.write(configuration)).configuration())
+                .contains(configuration);
+    }
+
+    /** Guards against a key that is written in clear text and appears in the output of a check. */
+    @Test
+    void reportsAKeyInClearTextWithoutShowingIt() throws IOException {
+        for (String value : List.of("[\"clear-text\"]", "\"clear-text\"")) {
+            CheckResult result = read(VALID + "\n[account.guides]\nkey_digests = " + value + "\n");
+
+            assertThat(result.problems())
+                    .singleElement()
+                    .satisfies(
+                            problem -> {
+                                assertThat(problem.location().key()).isEqualTo("key_digests");
+                                assertThat(problem.location().line()).isEqualTo(9);
+                                assertThat(problem.toString()).doesNotContain("clear-text");
+                            });
+        }
+    }
+
     @Test
     void reportsInvalidRoutes() throws IOException {
         String routes =
--- a/codec/src/test/java/org/dogwoodwood/codec/configuration/ConfigurationReferenceTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/configuration/ConfigurationReferenceTests.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.configuration.ConfigurationKey;
 import org.dogwoodwood.core.configuration.ObjectKind;
@@ -23,6 +24,11 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    // Components whose key in a file has another name: a digest is not a key, and "public" is
+    // reserved in Java.
+    private static final Map<String, String> LABEL_OF_COMPONENT =
+            Map.of("keys", "key_digests", "public_access", "public");
+
     @ParameterizedTest
     @EnumSource(ConfigurationKey.class)
     void pageDescribesEveryKey(ConfigurationKey key) throws IOException {
@@ -46,6 +52,7 @@
                 Arrays.stream(kind.type().getRecordComponents())
                         .map(component -> snakeCase(component.getName()))
                         .filter(name -> !name.equals("name"))
+                        .map(name -> LABEL_OF_COMPONENT.getOrDefault(name, name))
                         .toList();
 
         assertThat(kind.keys()).extracting(ConfigurationKey::label).isEqualTo(components);
--- a/core/src/main/java/org/dogwoodwood/core/configuration/Configuration.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/Configuration.java
@@ -9,9 +9,10 @@
  * @param version the version, 0 before the first publication
  * @param services the services by name
  * @param dataCentres the data centres by name
- * @param callClasses the classes or client accounts by name
+ * @param callClasses the classes by name
  * @param policies the policies by name
  * @param routes the routes by name
+ * @param accounts the client accounts by name; if there are none, requests need no key
  */
 public record Configuration(
         long version,
@@ -19,7 +20,8 @@
         Map<String, DataCentreDefinition> dataCentres,
         Map<String, CallClassDefinition> callClasses,
         Map<String, PolicyDefinition> policies,
-        Map<String, RouteDefinition> routes) {
+        Map<String, RouteDefinition> routes,
+        Map<String, AccountDefinition> accounts) {
 
     /** Copies the maps. */
     public Configuration {
@@ -28,9 +30,21 @@
         callClasses = OrderedCopies.copyOf(callClasses);
         policies = OrderedCopies.copyOf(policies);
         routes = OrderedCopies.copyOf(routes);
+        accounts = OrderedCopies.copyOf(accounts);
     }
 
-    /** Creates a configuration without routes. */
+    /** Creates a configuration without accounts. */
+    public Configuration(
+            long version,
+            Map<String, ServiceDefinition> services,
+            Map<String, DataCentreDefinition> dataCentres,
+            Map<String, CallClassDefinition> callClasses,
+            Map<String, PolicyDefinition> policies,
+            Map<String, RouteDefinition> routes) {
+        this(version, services, dataCentres, callClasses, policies, routes, Map.of());
+    }
+
+    /** Creates a configuration without routes and accounts. */
     public Configuration(
             long version,
             Map<String, ServiceDefinition> services,
@@ -47,7 +61,8 @@
 
     /** Returns the same objects with the given version. */
     public Configuration withVersion(long newVersion) {
-        return new Configuration(newVersion, services, dataCentres, callClasses, policies, routes);
+        return new Configuration(
+                newVersion, services, dataCentres, callClasses, policies, routes, accounts);
     }
 
     /** Returns the objects of one kind by name. */
@@ -58,6 +73,7 @@
             case CALL_CLASS -> callClasses;
             case POLICY -> policies;
             case ROUTE -> routes;
+            case ACCOUNT -> accounts;
         };
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationChecker.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationChecker.java
@@ -56,6 +56,7 @@
         checkDuplicates(complete, found::add);
         ValueRules.check(complete, found::add);
         ConsistencyRules.check(complete, found::add);
+        AccountRules.check(complete, found::add);
         // Otherwise references to names defined in an unreadable part of a file would be reported.
         if (earlier.stream()
                 .map(ConfigurationProblem::code)
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationDraft.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationDraft.java
@@ -16,13 +16,15 @@
  * @param callClasses the classes
  * @param policies the policies
  * @param routes the routes
+ * @param accounts the client accounts
  */
 public record ConfigurationDraft(
         List<DraftObject<ServiceDefinition>> services,
         List<DraftObject<DataCentreDefinition>> dataCentres,
         List<DraftObject<CallClassDefinition>> callClasses,
         List<DraftObject<PolicyDefinition>> policies,
-        List<DraftObject<RouteDefinition>> routes) {
+        List<DraftObject<RouteDefinition>> routes,
+        List<DraftObject<AccountDefinition>> accounts) {
 
     /** The name of the policy and of the class that exist by default. */
     public static final String DEFAULT_NAME = "default";
@@ -34,6 +36,7 @@
         callClasses = List.copyOf(callClasses);
         policies = List.copyOf(policies);
         routes = List.copyOf(routes);
+        accounts = List.copyOf(accounts);
     }
 
     /** Returns the objects of a configuration that was not read from a file. */
@@ -43,12 +46,13 @@
                 withoutLocation(configuration.dataCentres().values()),
                 withoutLocation(configuration.callClasses().values()),
                 withoutLocation(configuration.policies().values()),
-                withoutLocation(configuration.routes().values()));
+                withoutLocation(configuration.routes().values()),
+                withoutLocation(configuration.accounts().values()));
     }
 
     /** Returns all objects. */
     public Stream<DraftObject<? extends ConfigurationObject>> objects() {
-        return Stream.of(services, dataCentres, callClasses, policies, routes)
+        return Stream.of(services, dataCentres, callClasses, policies, routes, accounts)
                 .flatMap(List::stream);
     }
 
@@ -65,7 +69,8 @@
         if (!byName(policies).containsKey(DEFAULT_NAME)) {
             allPolicies.add(withoutLocation(PolicyDefinition.withDefaults(DEFAULT_NAME)));
         }
-        return new ConfigurationDraft(services, dataCentres, classes, allPolicies, routes);
+        return new ConfigurationDraft(
+                services, dataCentres, classes, allPolicies, routes, accounts);
     }
 
     /** Returns the objects as version 0; of objects with the same name, only the first. */
@@ -76,7 +81,8 @@
                 byName(dataCentres),
                 byName(callClasses),
                 byName(policies),
-                byName(routes));
+                byName(routes),
+                byName(accounts));
     }
 
     static <T extends ConfigurationObject> Map<String, T> byName(List<DraftObject<T>> objects) {
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
@@ -165,7 +165,29 @@
             "targets",
             RouteDefinition.DEFAULT_MAX_ATTEMPTS,
             ValueRange.closed(1, 10),
-            route(RouteDefinition::maxAttempts));
+            route(RouteDefinition::maxAttempts)),
+    ROUTE_PUBLIC("public", ValueType.BOOLEAN, "", false, route(RouteDefinition::publicAccess)),
+
+    ACCOUNT_KEY_DIGESTS(
+            "key_digests",
+            ValueType.TEXT_LIST,
+            "",
+            List.of(),
+            account(object -> object.keys().stream().map(AccountKey::digest).toList())),
+    ACCOUNT_CALL_CLASS(
+            "call_class", ValueType.TEXT, "", "", account(object -> object.callClass().orElse(""))),
+    ACCOUNT_CALLS_PER_SECOND(
+            "calls_per_second",
+            "calls per second; 0 for no limit",
+            0.0,
+            ValueRange.closed(0, 10_000_000),
+            account(AccountDefinition::callsPerSecond)),
+    ACCOUNT_BURST(
+            "burst",
+            "calls",
+            0,
+            ValueRange.closed(0, 10_000_000),
+            account(AccountDefinition::burst));
 
     private final String label;
     private final ValueType type;
@@ -235,7 +257,8 @@
     }
 
     /**
-     * Returns the value of this key in an object: a number, a string or a list of strings.
+     * Returns the value of this key in an object: a number, a truth value, a string or a list of
+     * strings.
      *
      * @param object an object of this key's kind, not null
      */
@@ -266,6 +289,11 @@
         return new ValueReader(ObjectKind.ROUTE, object -> value.apply((RouteDefinition) object));
     }
 
+    private static ValueReader account(Function<AccountDefinition, Object> value) {
+        return new ValueReader(
+                ObjectKind.ACCOUNT, object -> value.apply((AccountDefinition) object));
+    }
+
     /** The kind of object that a key belongs to, and the accessor of its value. */
     private record ValueReader(ObjectKind kind, Function<ConfigurationObject, Object> value) {}
 }
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationObject.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationObject.java
@@ -6,7 +6,8 @@
                 DataCentreDefinition,
                 CallClassDefinition,
                 PolicyDefinition,
-                RouteDefinition {
+                RouteDefinition,
+                AccountDefinition {
 
     /** Returns the name, unique among the objects of its kind. */
     String name();
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ObjectKind.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ObjectKind.java
@@ -10,7 +10,8 @@
     DATA_CENTRE("data-centre", DataCentreDefinition.class),
     CALL_CLASS("class", CallClassDefinition.class),
     POLICY("policy", PolicyDefinition.class),
-    ROUTE("route", RouteDefinition.class);
+    ROUTE("route", RouteDefinition.class),
+    ACCOUNT("account", AccountDefinition.class);
 
     private final String label;
     private final Class<? extends ConfigurationObject> type;
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ReferenceRules.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ReferenceRules.java
@@ -63,6 +63,14 @@
                     List.of(route.definition().callClass()),
                     callClasses);
         }
+        for (DraftObject<AccountDefinition> account : draft.accounts()) {
+            rules.checkNames(
+                    account,
+                    ConfigurationKey.ACCOUNT_CALL_CLASS,
+                    ObjectKind.CALL_CLASS,
+                    account.definition().callClass().stream().toList(),
+                    callClasses);
+        }
     }
 
     private void checkNames(
--- a/core/src/main/java/org/dogwoodwood/core/configuration/RouteDefinition.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/RouteDefinition.java
@@ -14,6 +14,7 @@
  * @param targetLatencyMillis the time within which an answer has its full value, in milliseconds
  * @param callClass the name of the class that the calls belong to
  * @param maxAttempts the maximum number of targets that one call may be sent to
+ * @param publicAccess whether its calls need no key of an account
  */
 public record RouteDefinition(
         String name,
@@ -24,7 +25,8 @@
         int timeoutMillis,
         int targetLatencyMillis,
         String callClass,
-        int maxAttempts)
+        int maxAttempts,
+        boolean publicAccess)
         implements ConfigurationObject {
 
     public static final int DEFAULT_TARGET_LATENCY_MILLIS = 500;
@@ -34,4 +36,28 @@
     public RouteDefinition {
         shares = List.copyOf(shares);
     }
+
+    /** Creates a route whose calls need a key if there are accounts. */
+    public RouteDefinition(
+            String name,
+            String host,
+            String pathPrefix,
+            List<ServiceShare> shares,
+            Execution execution,
+            int timeoutMillis,
+            int targetLatencyMillis,
+            String callClass,
+            int maxAttempts) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                shares,
+                execution,
+                timeoutMillis,
+                targetLatencyMillis,
+                callClass,
+                maxAttempts,
+                false);
+    }
 }
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ValueType.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ValueType.java
@@ -4,6 +4,7 @@
 public enum ValueType {
     WHOLE_NUMBER("a whole number, such as 100"),
     NUMBER("a number, such as 0.5"),
+    BOOLEAN("true or false"),
     TEXT("a string in quotes, such as \"coast\""),
     TEXT_LIST("a list of strings, such as [\"coast\", \"valley\"]");
 
