Ingress checks the keys of client accounts

Cause: any caller could send any request, and nothing told accounts apart behind the ingress.

Change: when the configuration has accounts, a request needs a key (401 UNKNOWN_ACCOUNT_KEY) unless its route is public, also if it is pipelined. The account travels in the CALL frame as an optional last element and reaches the target in a header that only the system sets; Authorization is removed. The class of the account precedes that of the route. The fingerprint of a keyed call contains the account, so that no account gets an answer that was kept for another. A node without a configuration answers 503 on the product's own interface too.

--- a/codec/src/main/java/org/dogwoodwood/codec/wire/CallFrame.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/CallFrame.java
@@ -11,7 +11,7 @@
  * @param id the attempt
  * @param expectedIncarnation the latest incarnation of the guard known to the ingress
  * @param service the name of the service
- * @param callClass the call class or client account of the caller
+ * @param callClass the class of the call
  * @param request the HTTP request for the target
  * @param remainingMillis the time until the deadline, in milliseconds
  * @param objectiveMillis the time within which an answer has its full value, in milliseconds
@@ -20,6 +20,7 @@
  * @param depth the number of services that the call has passed through
  * @param fingerprint the hash of service, method, path and body
  * @param mayQueue whether the guard may queue the call when no slot is free
+ * @param account the client account of the caller, if it has one
  */
 public record CallFrame(
         AttemptId id,
@@ -33,7 +34,8 @@
         Optional<String> key,
         int depth,
         long fingerprint,
-        boolean mayQueue)
+        boolean mayQueue,
+        Optional<String> account)
         implements Frame {
 
     public static final int TYPE = 4;
@@ -47,6 +49,37 @@
         Objects.requireNonNull(callClass, "callClass");
         Objects.requireNonNull(request, "request");
         Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(account, "account");
+    }
+
+    /** Creates the frame of a call without an account. */
+    public CallFrame(
+            AttemptId id,
+            long expectedIncarnation,
+            String service,
+            String callClass,
+            RequestContent request,
+            long remainingMillis,
+            long objectiveMillis,
+            boolean idempotent,
+            Optional<String> key,
+            int depth,
+            long fingerprint,
+            boolean mayQueue) {
+        this(
+                id,
+                expectedIncarnation,
+                service,
+                callClass,
+                request,
+                remainingMillis,
+                objectiveMillis,
+                idempotent,
+                key,
+                depth,
+                fingerprint,
+                mayQueue,
+                Optional.empty());
     }
 
     /**
@@ -66,7 +99,8 @@
                 depth,
                 nowNanos + remainingMillis * NANOS_PER_MILLI,
                 nowNanos + Math.min(objectiveMillis, remainingMillis) * NANOS_PER_MILLI,
-                mayQueue);
+                mayQueue,
+                account);
     }
 
     /**
@@ -91,7 +125,8 @@
                 key,
                 depth,
                 fingerprint,
-                mayQueue);
+                mayQueue,
+                account);
     }
 
     @Override
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
@@ -100,8 +100,9 @@
                 yield PongFrame.of(reader.readLong(), reader.readReport());
             }
             case CallFrame.TYPE -> {
-                checkElements(type, elements, 17);
-                yield readCall(reader);
+                boolean hasAccount = elements == 18;
+                checkElements(type, elements, hasAccount ? 18 : 17);
+                yield readCall(reader, hasAccount);
             }
             case AnswerFrame.TYPE -> {
                 checkElements(type, elements, 9);
@@ -123,7 +124,7 @@
         };
     }
 
-    private static CallFrame readCall(BoundedReader reader) throws IOException {
+    private static CallFrame readCall(BoundedReader reader, boolean hasAccount) throws IOException {
         return new CallFrame(
                 reader.readAttempt(),
                 reader.readLong(),
@@ -140,7 +141,8 @@
                 reader.readOptionalText(),
                 reader.readInt(),
                 reader.readLong(),
-                reader.readBoolean());
+                reader.readBoolean(),
+                hasAccount ? Optional.of(reader.readText()) : Optional.empty());
     }
 
     private static AnswerFrame readAnswer(BoundedReader reader) throws IOException {
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
@@ -78,7 +78,8 @@
     }
 
     private static void packCall(MessageBufferPacker packer, CallFrame call) throws IOException {
-        packer.packArrayHeader(17).packInt(CallFrame.TYPE);
+        // Calls without an account are encoded as by earlier releases.
+        packer.packArrayHeader(call.account().isPresent() ? 18 : 17).packInt(CallFrame.TYPE);
         packAttempt(packer, call.id());
         packer.packLong(call.expectedIncarnation());
         packText(packer, call.service());
@@ -91,6 +92,9 @@
         packer.packBoolean(call.idempotent());
         packOptionalText(packer, call.key());
         packer.packInt(call.depth()).packLong(call.fingerprint()).packBoolean(call.mayQueue());
+        if (call.account().isPresent()) {
+            packText(packer, call.account().get());
+        }
     }
 
     private static void packAnswer(MessageBufferPacker packer, AnswerFrame frame)
--- a/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
@@ -126,6 +126,21 @@
                         ID, 5, "s", "c", content, 900, 300, false, Optional.of("k"), 2, -3, true);
         Frame keyless =
                 new CallFrame(ID, 5, "s", "c", content, 0, 0, true, Optional.empty(), 0, 3, false);
+        Frame withAccount =
+                new CallFrame(
+                        ID,
+                        5,
+                        "s",
+                        "c",
+                        content,
+                        0,
+                        0,
+                        true,
+                        Optional.empty(),
+                        0,
+                        3,
+                        false,
+                        Optional.of("a"));
         Frame[] typed = {
             HelloFrame.of(NodeId.of("a"), 1, Optional.of("s")),
             HelloFrame.of(NodeId.of("a"), -1, Optional.empty()),
@@ -134,6 +149,7 @@
             PongFrame.of(2, Optional.empty()),
             call,
             keyless,
+            withAccount,
             AnswerFrame.of(ID, FinishedCall.answered(answer), Optional.of(REPORT)),
             AnswerFrame.of(ID, FinishedCall.notRun(ErrorCode.GUARD_BUSY), Optional.of(REPORT)),
             AnswerFrame.of(ID, FinishedCall.unknown(ErrorCode.TARGET_FAILED), Optional.empty()),
--- a/core/src/main/java/org/dogwoodwood/core/model/CallDescription.java
+++ b/core/src/main/java/org/dogwoodwood/core/model/CallDescription.java
@@ -9,7 +9,7 @@
  * @param id the call id
  * @param attempt the number of this attempt, from 0
  * @param service the name of the service
- * @param callClass the class or client account of the caller
+ * @param callClass the class of the call
  * @param idempotent whether the call may run more than once
  * @param key the caller's {@code Idempotency-Key}, if there is one
  * @param fingerprint a hash of service, method, path and body
@@ -19,6 +19,7 @@
  * @param objectiveNanos the latency objective, the time until which the answer has its full value:
  *     at most the deadline, on the same clock, in nanoseconds
  * @param mayQueue whether the guard may queue the call when no slot is free
+ * @param account the client account of the caller; calls without one form one account
  */
 public record CallDescription(
         CallId id,
@@ -31,7 +32,8 @@
         int depth,
         long deadlineNanos,
         long objectiveNanos,
-        boolean mayQueue) {
+        boolean mayQueue,
+        Optional<String> account) {
 
     /** Checks that no reference is null. */
     public CallDescription {
@@ -39,5 +41,34 @@
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(callClass, "callClass");
         Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(account, "account");
+    }
+
+    /** Creates the description of a call without an account. */
+    public CallDescription(
+            CallId id,
+            int attempt,
+            String service,
+            String callClass,
+            boolean idempotent,
+            Optional<String> key,
+            long fingerprint,
+            int depth,
+            long deadlineNanos,
+            long objectiveNanos,
+            boolean mayQueue) {
+        this(
+                id,
+                attempt,
+                service,
+                callClass,
+                idempotent,
+                key,
+                fingerprint,
+                depth,
+                deadlineNanos,
+                objectiveNanos,
+                mayQueue,
+                Optional.empty());
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/http/AnswerWriter.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/AnswerWriter.java
@@ -64,6 +64,13 @@
         response.setStatusCode(code.httpStatus());
         response.putHeader("Content-Type", "application/json");
         response.putHeader(Headers.OUTCOME, code.outcome().headerValue());
+        if (code == ErrorCode.UNKNOWN_ACCOUNT_KEY) {
+            // RFC 9110, section 15.5.2, requires the field. A protocol with another scheme has set
+            // it already.
+            if (!response.headers().contains("WWW-Authenticate")) {
+                response.putHeader("WWW-Authenticate", "Bearer");
+            }
+        }
         if (code.hasRetryAfter()) {
             response.putHeader("Retry-After", retryAfterSeconds);
         }
--- a/node/src/main/java/org/dogwoodwood/node/http/Headers.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/Headers.java
@@ -16,9 +16,12 @@
     /** The time until the answer is due, in milliseconds. */
     public static final String TIMEOUT_MS = "Dogwoodwood-Timeout-Ms";
 
-    /** The class or client account of the caller. */
+    /** The class of the call. */
     public static final String CLASS = "Dogwoodwood-Class";
 
+    /** The client account of the caller, set by the system on the request to the target. */
+    public static final String ACCOUNT = "Dogwoodwood-Account";
+
     /** The number of services that the call has passed through. */
     public static final String DEPTH = "Dogwoodwood-Depth";
 
@@ -75,11 +78,13 @@
 
     /** Returns the fields that the guard sets on the request to its target. */
     public static List<HeaderField> forTarget(CallFrame frame, long remainingMillis) {
-        return List.of(
-                HeaderField.of(TIMEOUT_MS, Long.toString(remainingMillis)),
-                HeaderField.of(CALL_ID, frame.id().call().toString()),
-                HeaderField.of(DEPTH, Integer.toString(frame.depth() + 1)),
-                HeaderField.of(CLASS, frame.callClass()));
+        List<HeaderField> headers = new ArrayList<>();
+        headers.add(HeaderField.of(TIMEOUT_MS, Long.toString(remainingMillis)));
+        headers.add(HeaderField.of(CALL_ID, frame.id().call().toString()));
+        headers.add(HeaderField.of(DEPTH, Integer.toString(frame.depth() + 1)));
+        headers.add(HeaderField.of(CLASS, frame.callClass()));
+        frame.account().ifPresent(account -> headers.add(HeaderField.of(ACCOUNT, account)));
+        return headers;
     }
 
     private static Set<String> namedByConnection(MultiMap headers) {
--- a/node/src/main/java/org/dogwoodwood/node/ingress/CallParameters.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/CallParameters.java
@@ -10,7 +10,7 @@
  * The parameters of a call, from the head of the caller's request and the configuration.
  *
  * @param service the service that the call is for
- * @param callClass the class or client account of the caller
+ * @param callClass the class of the call
  * @param key the caller's {@code Idempotency-Key}, if any
  * @param depth the number of services that the call has passed through
  * @param timeoutMillis the time until the answer is due, in milliseconds
@@ -19,6 +19,7 @@
  * @param maxAttempts the maximum number of targets that may receive the call
  * @param path the path and query that the target receives
  * @param headers the header fields that the target receives
+ * @param account the name of the client account of the caller, if it has one
  * @param requestId the caller's id of the request; empty if there is none
  */
 public record CallParameters(
@@ -32,6 +33,7 @@
         int maxAttempts,
         String path,
         List<HeaderField> headers,
+        Optional<String> account,
         String requestId) {
 
     /** Rejects null references and copies the header fields. */
@@ -41,6 +43,7 @@
         Objects.requireNonNull(key, "key");
         Objects.requireNonNull(path, "path");
         headers = List.copyOf(headers);
+        Objects.requireNonNull(account, "account");
         Objects.requireNonNull(requestId, "requestId");
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/DefaultCallerProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/DefaultCallerProtocol.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.configuration.AccountDefinition;
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.configuration.RouteDefinition;
 import org.dogwoodwood.core.configuration.ServiceDefinition;
@@ -25,6 +26,7 @@
     private static final int MAX_KEY_CHARS = 256;
 
     private final IngressLimits limits;
+    private final CallerAccounts accounts = CallerAccounts.create("Bearer", Headers.ACCOUNT);
     private final ServiceResolver services = new ServiceResolver();
     private final RouteResolver routes = RouteResolver.create();
 
@@ -39,10 +41,16 @@
 
     @Override
     public CallParameters readHead(RequestHead request, Configuration configuration) {
+        if (configuration.version() == 0) {
+            throw new DogwoodwoodException(
+                    ErrorCode.NO_CONFIGURATION, "The node has not read a configuration yet.");
+        }
         Optional<ResolvedRoute> route =
                 routes.resolve(configuration, request.host(), request.uri());
+        Optional<AccountDefinition> account =
+                accounts.identify(request, configuration, route.map(ResolvedRoute::route));
         if (route.isPresent()) {
-            return routedParameters(request, configuration, route.get());
+            return routedParameters(request, configuration, route.get(), account);
         }
         ResolvedService resolved =
                 services.resolve(configuration, request.host(), request.uri())
@@ -56,7 +64,7 @@
         long timeoutMillis = timeoutMillis(request, service.timeoutMillis());
         return new CallParameters(
                 service,
-                callClass(request, service, configuration),
+                callClass(request, service, configuration, account),
                 key(request),
                 depth(request),
                 timeoutMillis,
@@ -64,7 +72,8 @@
                 service.isIdempotent(request.method()),
                 Integer.MAX_VALUE,
                 resolved.path(),
-                forwardedHeaders(request),
+                forwardedHeaders(request, configuration),
+                account.map(AccountDefinition::name),
                 "");
     }
 
@@ -79,14 +88,17 @@
     }
 
     private CallParameters routedParameters(
-            RequestHead request, Configuration configuration, ResolvedRoute resolved) {
+            RequestHead request,
+            Configuration configuration,
+            ResolvedRoute resolved,
+            Optional<AccountDefinition> account) {
         RouteDefinition route = resolved.route();
         long timeoutMillis = timeoutMillis(request, route.timeoutMillis());
         return new CallParameters(
                 resolved.service(),
-                request.header(Headers.CLASS) == null
-                        ? route.callClass()
-                        : callClass(request, resolved.service(), configuration),
+                namesClass(request, account)
+                        ? callClass(request, resolved.service(), configuration, account)
+                        : route.callClass(),
                 key(request),
                 depth(request),
                 Math.min(timeoutMillis, route.timeoutMillis()),
@@ -94,12 +106,16 @@
                 route.execution().isRepeatable(),
                 route.maxAttempts(),
                 request.uri(),
-                forwardedHeaders(request),
+                forwardedHeaders(request, configuration),
+                account.map(AccountDefinition::name),
                 "");
     }
 
-    private static List<HeaderField> forwardedHeaders(RequestHead request) {
-        List<HeaderField> headers = new ArrayList<>(Headers.endToEnd(request.headers(), false));
+    private List<HeaderField> forwardedHeaders(RequestHead request, Configuration configuration) {
+        List<HeaderField> headers =
+                new ArrayList<>(
+                        accounts.forwardable(
+                                Headers.endToEnd(request.headers(), false), configuration));
         boolean hasHost = headers.stream().anyMatch(h -> h.name().equalsIgnoreCase("Host"));
         if (!hasHost && !request.authority().isEmpty()) {
             headers.add(HeaderField.of("Host", request.authority()));
@@ -140,9 +156,21 @@
         return (int) depth;
     }
 
+    private static boolean namesClass(RequestHead request, Optional<AccountDefinition> account) {
+        return account.flatMap(AccountDefinition::callClass).isPresent()
+                || request.header(Headers.CLASS) != null;
+    }
+
+    // The class of the account precedes the one that the caller names, which would otherwise give
+    // any caller the largest weight.
     private static String callClass(
-            RequestHead request, ServiceDefinition service, Configuration configuration) {
-        String name = request.header(Headers.CLASS);
+            RequestHead request,
+            ServiceDefinition service,
+            Configuration configuration,
+            Optional<AccountDefinition> account) {
+        String name =
+                account.flatMap(AccountDefinition::callClass)
+                        .orElseGet(() -> request.header(Headers.CLASS));
         if (name == null || name.equals(DEFAULT_CLASS)) {
             return DEFAULT_CLASS;
         }
@@ -152,7 +180,9 @@
                         : service.callClasses().contains(name);
         if (!allowed) {
             throw RequestReader.badRequest(
-                    "The class in " + Headers.CLASS + " may not call this service.");
+                    "The class of the account or in "
+                            + Headers.CLASS
+                            + " may not call this service.");
         }
         return name;
     }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -188,7 +188,8 @@
                         request.key(),
                         request.depth(),
                         fingerprint,
-                        mayQueue);
+                        mayQueue,
+                        request.account());
         OpenAttempt sent = new OpenAttempt(frame.id(), target, nowNanos, mayQueue);
         openAttempts.put(attempt, sent);
         state.onSent(target.node(), nowNanos);
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressRequest.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressRequest.java
@@ -31,6 +31,10 @@
         return parameters.key();
     }
 
+    Optional<String> account() {
+        return parameters.account();
+    }
+
     int depth() {
         return parameters.depth();
     }
@@ -39,13 +43,20 @@
         return parameters.idempotent();
     }
 
-    /** Returns the first 8 bytes of the SHA-256 of service, method, path and body. */
+    /**
+     * Returns the first 8 bytes of the SHA-256 of service, method, path and body. For a keyed call,
+     * the account is included: an {@code Idempotency-Key} never gives one account the answer that
+     * was kept for another.
+     */
     long fingerprint() {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
             update(digest, service().name());
             update(digest, content.method());
             update(digest, content.path());
+            if (key().isPresent() && account().isPresent()) {
+                update(digest, account().get());
+            }
             digest.update(content.body());
             return ByteBuffer.wrap(digest.digest()).getLong();
         } catch (NoSuchAlgorithmException e) {
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -320,6 +320,9 @@
             }
             answered = true;
             metrics.onIngressError(code);
+            if (failure instanceof UnknownKeyException unknown) {
+                onUnknownKey(unknown);
+            }
             bodyReservation.release();
             boolean unread = !request.isEnded();
             boolean isHttp1 = request.version() != HttpVersion.HTTP_2;
@@ -340,6 +343,20 @@
             }
         }
 
+        private void onUnknownKey(UnknownKeyException unknown) {
+            metrics.onKeyRefused();
+            log.write(
+                    LogEvent.KEY_REFUSED,
+                    "caller",
+                    request.remoteAddress(),
+                    "route",
+                    unknown.route(),
+                    "digest",
+                    unknown.digest(),
+                    "account",
+                    unknown.account());
+        }
+
         private void onFinished(IngressRequest read, FinishedCall finished) {
             answered = true;
             int status =
@@ -353,6 +370,7 @@
                     read.callClass(),
                     status,
                     System.nanoTime() - arrivedNanos);
+            read.account().ifPresent(metrics::onAccountRequest);
         }
 
         private int writeAnswer(TargetAnswer answer) {
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -51,6 +51,7 @@
             404,
             Severity.ERROR,
             "A request was dispatched out of order, and its connection is closed."),
+    KEY_REFUSED(405, Severity.WARNING, "A request has no key of an account and is refused."),
 
     CALL_REFUSED(451, Severity.INFO, "The node refused a call, which was not run."),
     CALL_RETRIED(452, Severity.INFO, "A call goes to another target."),
--- a/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
@@ -19,12 +19,16 @@
 
     // Bounds memory: callers and operators choose the names of services and call classes.
     private static final int MAX_LABEL_PAIRS = 512;
+    private static final int MAX_ACCOUNTS = 512;
+    private static final String OTHER_ACCOUNT = "other accounts";
     private static final long NANOS_PER_MICRO = 1_000;
 
     private final MetricRegistry registry = new MetricRegistry();
     private final Map<CallLabels, Histogram> latencies = new HashMap<>();
     private final Map<AnswerLabels, Counter> answers = new HashMap<>();
     private final Map<CallLabels, TargetTimes> targetTimes = new HashMap<>();
+    private final Map<String, Counter> accountRequests = new HashMap<>();
+    private final Counter refusedKeys = counter("dogwoodwood_refused_keys_total");
     private final Counter attempts = counter("dogwoodwood_attempts_total");
     private final Counter retries = counter("dogwoodwood_retries_total");
     private final Counter hedges = counter("dogwoodwood_hedges_total");
@@ -55,6 +59,22 @@
                 .inc();
     }
 
+    /** Counts a request of an account that was answered. */
+    public void onAccountRequest(String account) {
+        boolean known =
+                accountRequests.containsKey(account) || accountRequests.size() < MAX_ACCOUNTS;
+        accountRequests
+                .computeIfAbsent(
+                        known ? account : OTHER_ACCOUNT,
+                        label -> counter("dogwoodwood_account_requests_total", "account", label))
+                .inc();
+    }
+
+    /** Counts a request that was refused because it has no key of an account. */
+    public void onKeyRefused() {
+        refusedKeys.inc();
+    }
+
     /** Counts an attempt that is sent to a guard. */
     public void onAttempt() {
         attempts.inc();
--- a/node/src/test/java/org/dogwoodwood/node/DocumentationTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/DocumentationTests.java
@@ -62,6 +62,7 @@
     void metricsPageListsEveryMetric() throws IOException {
         NodeMetrics metrics = NodeMetrics.create();
         metrics.onAnswered("s", "c", 200, 1);
+        metrics.onAccountRequest("a");
         metrics.onGuardRefusal(ErrorCode.GUARD_BUSY);
         metrics.onIngressError(ErrorCode.OVERLOADED);
         String text = read("metrics.md");
