A node that starts asks its peers before it trusts the operators' source

Cause: a node knows no version when it starts. If the store had come back from an older copy, the node took the older document from it and accepted a revoked key until gossip brought the newer version. A node that was not ready also used any version that it had fetched.

Change: until it is ready, a node uses no configuration.

--- a/node/src/main/java/org/dogwoodwood/node/control/ConfigurationManager.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ConfigurationManager.java
@@ -83,6 +83,11 @@
         return hash;
     }
 
+    /** Returns whether a peer has reported a later version, which is being fetched. */
+    boolean isFetching() {
+        return fetching;
+    }
+
     /** Returns whether a ready peer has reported no later version than this node's. */
     boolean isConfirmedByReadyPeer() {
         return confirmedByReadyPeer;
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -13,6 +13,7 @@
 import org.dogwoodwood.codec.log.LogStreams;
 import org.dogwoodwood.codec.wire.ControlFrame;
 import org.dogwoodwood.core.DogwoodwoodException;
+import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.core.membership.DataCentreOrders;
@@ -64,6 +65,7 @@
     private final ConfigurationSource configurationReader;
     private final LogReader membershipReader;
     private final RoutingTableBuilder routingTableBuilder;
+    private final StartCheck startCheck;
     private RoutingTable publishedTable = RoutingTable.empty();
     private List<DataCentreOrder> loggedOrders = List.of();
     private volatile boolean ready;
@@ -138,6 +140,7 @@
         this.membershipReader =
                 new LogReader(
                         vertx, log, LogStreams.MEMBERSHIP, timings, random, membership, events);
+        this.startCheck = new StartCheck(table, exchanger::requestExtraRound);
         this.routingTableBuilder = new RoutingTableBuilder(table, orders, components.keyedCalls());
     }
 
@@ -353,7 +356,9 @@
                         && membershipReader.isCaughtUp()
                         && configurationManager.ledger().isLogStateKnown()
                         && (components.configurationSourceFactory().isEmpty()
-                                || configurationManager.configuration().version() > 0);
+                                || (configurationManager.configuration().version() > 0
+                                        && !configurationManager.isFetching()
+                                        && startCheck.isComplete(System.nanoTime())));
         // A node without a log and without seeds has no published configuration to wait for.
         boolean standalone =
                 components.configurationSourceFactory().isEmpty()
@@ -365,6 +370,7 @@
             events.write(
                     LogEvent.NODE_READY, "version", configurationManager.configuration().version());
             exchanger.requestExtraRound();
+            schedulePublish();
         }
     }
 
@@ -430,8 +436,8 @@
 
     private void publishNow() {
         long now = System.nanoTime();
-        RoutingTable next =
-                routingTableBuilder.build(configurationManager.configuration(), crashEvidence, now);
+        Configuration usable = ready ? configurationManager.configuration() : Configuration.empty();
+        RoutingTable next = routingTableBuilder.build(usable, crashEvidence, now);
         lastBuildNanos = System.nanoTime() - now;
         if (!next.equals(publishedTable)) {
             publishedTable = next;
