Guards share a target among client accounts

Cause: within a class, the guard's queue is ordered by objective only, so that an account which sends 5 times its usual load takes the capacity of all others.

Change: accounts of a class are served by start-time fair queueing with their limits as weights; accounts without a limit, and calls without an account, have the mean weight. The expected wait counts the calls with an earlier start tag, so that an account beyond its share is refused first. An account whose calls are all late gets a turn after two missed ones. Gauge of the share served of the worst tenth of the accounts, account in the lines of refusals.

--- a/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/AdmissionController.java
@@ -1,8 +1,10 @@
 package org.dogwoodwood.core.admission;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.dogwoodwood.core.configuration.AccountDefinition;
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.model.CallDescription;
@@ -128,6 +130,24 @@
     void onConfiguration(
             PolicyDefinition policy, Map<String, CallClassDefinition> callClasses, long nowNanos);
 
+    /**
+     * Applies the client accounts, whose limits are their weights for sharing the target; calls in
+     * flight and in the queue are kept.
+     *
+     * @param accounts the accounts, not null
+     */
+    default void onAccounts(Collection<AccountDefinition> accounts) {}
+
+    /**
+     * Returns the mean share of the calls of the worst tenth of the accounts that were started, of
+     * those that were started or finally refused here in the last 10 to 20 s.
+     *
+     * @param nowNanos the current time in nanoseconds
+     */
+    default double servedShareOfWorstAccounts(long nowNanos) {
+        return 1;
+    }
+
     /** Returns the number of calls in flight at the target. */
     int inFlight();
 
--- a/core/src/main/java/org/dogwoodwood/core/admission/DeadlineQueue.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DeadlineQueue.java
@@ -1,14 +1,11 @@
 package org.dogwoodwood.core.admission;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.function.Predicate;
-import java.util.function.ToLongFunction;
 import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.model.CallDescription;
@@ -16,14 +13,15 @@
 
 /**
  * Queue of calls that wait for a slot. Calls that can meet their latency objective precede those
- * that cannot; classes are served by start-time fair queueing with their weights, and within a
- * class the earliest objective or deadline comes first.
+ * that cannot; classes are served by start-time fair queueing with their weights, within a class
+ * its accounts likewise, and of an account the earliest objective or deadline comes first.
  */
 final class DeadlineQueue {
 
     private static final int DEFAULT_WEIGHT = 1;
 
     private Map<String, CallClassDefinition> definitions;
+    private AccountWeights accountWeights = AccountWeights.equal();
     private final Map<String, ClassQueue> queues = new LinkedHashMap<>();
     private int size;
     private long sequence;
@@ -36,7 +34,13 @@
     /** Applies new class definitions; queued calls keep their order within their class. */
     void setDefinitions(Map<String, CallClassDefinition> newDefinitions) {
         definitions = OrderedCopies.copyOf(newDefinitions);
-        queues.forEach((name, queue) -> queue.weight = weightOf(name));
+        queues.forEach((name, queue) -> queue.setWeight(weightOf(name)));
+    }
+
+    /** Applies new weights of accounts; queued calls keep their order within their account. */
+    void setAccountWeights(AccountWeights weights) {
+        accountWeights = weights;
+        queues.values().forEach(queue -> queue.setAccountWeights(weights));
     }
 
     void add(CallDescription call, long nowNanos) {
@@ -44,9 +48,9 @@
                 queues.computeIfAbsent(call.callClass(), name -> new ClassQueue(weightOf(name)));
         if (queue.isEmpty()) {
             // A class must not accumulate credit while it is idle.
-            queue.startTag = Math.max(queue.startTag, virtualTime);
+            queue.raiseStartTag(virtualTime);
         }
-        queue.inTime.add(new Entry(call, sequence++, nowNanos));
+        queue.add(new QueuedCall(call, sequence++, nowNanos), accountWeights);
         size++;
     }
 
@@ -55,71 +59,64 @@
     }
 
     /**
-     * Returns the expected number of calls that start before a new call of a class would: the
-     * queued calls of the class and, in proportion to their weights, those of other classes. Late
-     * calls are not counted, since they follow all others.
+     * Returns the expected number of calls that start before a new call of a class and account
+     * would: the queued calls of the account and, in proportion to their weights, those of other
+     * accounts and classes. Late calls are not counted, since they follow all others.
      */
-    double queuedAhead(String callClass) {
+    double queuedAhead(String callClass, String account) {
         ClassQueue own = queues.get(callClass);
-        int ownSize = own == null ? 0 : own.inTime.size();
+        double ownAhead = own == null ? 0 : own.queuedAhead(account, accountWeights);
         int ownWeight = weightOf(callClass);
         double otherStarts = 0;
         for (Map.Entry<String, ClassQueue> entry : queues.entrySet()) {
             if (!entry.getKey().equals(callClass)) {
                 ClassQueue other = entry.getValue();
-                double share = (double) other.weight / ownWeight;
-                otherStarts += Math.min(other.inTime.size(), (ownSize + 1) * share);
+                double share = (double) other.weight() / ownWeight;
+                otherStarts += Math.min(other.inTimeSize(), (ownAhead + 1) * share);
             }
         }
-        return ownSize + otherStarts;
+        return ownAhead + otherStarts;
     }
 
     /**
      * Removes and returns the next call by class weight and latency objective, or empty if none is
-     * queued. Calls that would miss their objective are returned only if no other call is queued.
+     * queued. Calls that would miss their objective are returned only if no other call is queued,
+     * or in place of another call of their class if their account has missed too many turns.
      *
      * @param nowNanos the current time in nanoseconds
      * @param serviceNanos the expected service time of a call that starts now, in nanoseconds
      */
     Optional<CallDescription> poll(long nowNanos, long serviceNanos) {
         queues.values().forEach(queue -> queue.moveLate(nowNanos + serviceNanos));
-        Optional<ClassQueue> next = nextClassQueue(queue -> !queue.inTime.isEmpty());
-        if (next.isPresent()) {
-            return Optional.of(start(next.get(), next.get().inTime));
-        }
-        return nextClassQueue(queue -> !queue.late.isEmpty())
-                .map(queue -> start(queue, queue.late));
+        return nextClassQueue(ClassQueue::hasInTime)
+                .or(() -> nextClassQueue(ClassQueue::hasLate))
+                .map(this::start);
     }
 
     /** Removes and returns the calls whose deadline is before the given time. */
     List<CallDescription> removeDueBefore(long nanos) {
         List<CallDescription> removed = new ArrayList<>();
         for (ClassQueue queue : queues.values()) {
-            // A call past its deadline is past its objective as well.
-            queue.moveLate(nanos);
-            while (!queue.late.isEmpty() && queue.late.element().call.deadlineNanos() - nanos < 0) {
-                removed.add(queue.late.remove().call);
-                size--;
-            }
+            queue.removeDueBefore(nanos, removed);
         }
+        size -= removed.size();
         return removed;
     }
 
     private Optional<ClassQueue> nextClassQueue(Predicate<ClassQueue> eligible) {
         ClassQueue next = null;
         for (ClassQueue queue : queues.values()) {
-            if (eligible.test(queue) && (next == null || queue.startTag < next.startTag)) {
+            if (eligible.test(queue) && (next == null || queue.startTag() < next.startTag())) {
                 next = queue;
             }
         }
         return Optional.ofNullable(next);
     }
 
-    private CallDescription start(ClassQueue queue, PriorityQueue<Entry> calls) {
-        virtualTime = queue.startTag;
-        queue.startTag += 1.0 / queue.weight;
+    private CallDescription start(ClassQueue queue) {
+        virtualTime = queue.startTag();
         size--;
-        return calls.remove().call;
+        return queue.start();
     }
 
     /**
@@ -131,9 +128,9 @@
         for (ClassQueue queue : queues.values()) {
             queue.removeIf(
                     entry ->
-                            entry.call.attempt() < attempt
-                                    && entry.queuedNanos - sinceNanos <= 0
-                                    && removed.add(entry.call));
+                            entry.call().attempt() < attempt
+                                    && entry.queuedNanos() - sinceNanos <= 0
+                                    && removed.add(entry.call()));
         }
         size -= removed.size();
         return removed;
@@ -142,7 +139,7 @@
     boolean remove(CallId id, int attempt) {
         for (ClassQueue queue : queues.values()) {
             if (queue.removeIf(
-                    entry -> entry.call.attempt() == attempt && entry.call.id().equals(id))) {
+                    entry -> entry.call().attempt() == attempt && entry.call().id().equals(id))) {
                 size--;
                 return true;
             }
@@ -154,50 +151,4 @@
         CallClassDefinition definition = definitions.get(callClass);
         return definition == null ? DEFAULT_WEIGHT : definition.weight();
     }
-
-    /** The queued calls of one class. */
-    private static final class ClassQueue {
-        private final PriorityQueue<Entry> inTime = new PriorityQueue<>(Entry.BY_OBJECTIVE);
-        private final PriorityQueue<Entry> late = new PriorityQueue<>(Entry.BY_DEADLINE);
-        private int weight;
-        private double startTag;
-
-        ClassQueue(int weight) {
-            this.weight = weight;
-        }
-
-        boolean isEmpty() {
-            return inTime.isEmpty() && late.isEmpty();
-        }
-
-        /** Moves calls whose objective is before the given time to the late calls. */
-        void moveLate(long nanos) {
-            while (!inTime.isEmpty() && inTime.element().call.objectiveNanos() - nanos < 0) {
-                late.add(inTime.remove());
-            }
-        }
-
-        boolean removeIf(Predicate<Entry> condition) {
-            boolean removedInTime = inTime.removeIf(condition);
-            boolean removedLate = late.removeIf(condition);
-            return removedInTime || removedLate;
-        }
-    }
-
-    /** A queued call; the sequence orders calls with equal times by arrival. */
-    private record Entry(CallDescription call, long sequence, long queuedNanos) {
-
-        static final Comparator<Entry> BY_OBJECTIVE = by(CallDescription::objectiveNanos);
-        static final Comparator<Entry> BY_DEADLINE = by(CallDescription::deadlineNanos);
-
-        /** Compares times by their difference, since the monotonic clock may wrap around. */
-        private static Comparator<Entry> by(ToLongFunction<CallDescription> time) {
-            return (left, right) -> {
-                long difference = time.applyAsLong(left.call) - time.applyAsLong(right.call);
-                return difference == 0
-                        ? Long.compare(left.sequence, right.sequence)
-                        : Long.signum(difference);
-            };
-        }
-    }
 }
--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -1,12 +1,14 @@
 package org.dogwoodwood.core.admission;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.OrderedCopies;
+import org.dogwoodwood.core.configuration.AccountDefinition;
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.model.CallDescription;
@@ -52,6 +54,7 @@
     private ColdStartRateLimit coldRateLimit;
     private final Map<AttemptKey, StartedAttempt> startedByAttempt = new HashMap<>();
     private final Map<String, Integer> inFlightByClass = new HashMap<>();
+    private final ServedShares servedShares;
     private final List<CallDescription> expired = new ArrayList<>();
     private TargetCapacity capacity;
     private double errorRatio;
@@ -64,6 +67,7 @@
         this.queueLimitNanos = policy.queueLimitMillis() * NANOS_PER_MILLI;
         this.callClasses = OrderedCopies.copyOf(callClasses);
         this.queue = new DeadlineQueue(callClasses);
+        this.servedShares = new ServedShares(nowNanos);
         this.estimate = new ServiceTimeEstimate(INITIAL_SERVICE_TIME_NANOS, nowNanos);
         this.ramp = new ColdStartRamp(capacity);
         this.coldRateLimit = new ColdStartRateLimit(policy.coldCallsPerSecond(), nowNanos);
@@ -89,36 +93,12 @@
 
     @Override
     public AdmissionDecision offer(CallDescription call, long nowNanos) {
-        estimate.advance(inFlight(), nowNanos);
-        long remaining = call.deadlineNanos() - nowNanos;
-        if (remaining <= 0) {
-            return AdmissionDecision.refuse(ErrorCode.DEADLINE_TOO_SHORT);
-        }
-        if (exceedsClassShare(call.callClass())) {
-            return AdmissionDecision.refuse(ErrorCode.CLASS_LIMIT);
-        }
-        int startLimit = call.mayQueue() ? limit() : preferredLimit(nowNanos);
-        boolean free = queue.size() == 0 && inFlight() < startLimit && !isHolding(nowNanos);
-        if (free && coldRateAllowsStart(nowNanos)) {
-            start(call, nowNanos);
-            return AdmissionDecision.start();
-        }
-        if (!call.mayQueue() || (isHolding(nowNanos) && mayMoveAgain(call))) {
-            return AdmissionDecision.refuse(ErrorCode.GUARD_BUSY);
-        }
-        double waitNanos = expectedWaitNanos(call.callClass());
-        boolean tooLong = waitNanos > waitLimitNanos(call);
-        if (isMovable(call) && (call.attempt() > 0 || !tooLong)) {
-            return AdmissionDecision.refuse(ErrorCode.GUARD_BUSY);
-        }
-        if (tooLong) {
-            return AdmissionDecision.refuse(ErrorCode.OVERLOADED);
-        }
-        if (waitNanos > remaining) {
-            return AdmissionDecision.refuse(ErrorCode.DEADLINE_TOO_SHORT);
-        }
-        queue.add(call, nowNanos);
-        return AdmissionDecision.queue();
+        AdmissionDecision decision = decide(call, nowNanos);
+        // A call that may run elsewhere is not finally refused.
+        decision.refusal()
+                .filter(code -> code != ErrorCode.GUARD_BUSY)
+                .ifPresent(code -> countRefusal(call, nowNanos));
+        return decision;
     }
 
     @Override
@@ -142,6 +122,7 @@
         expireUnfinishable(nowNanos);
         List<CallDescription> removed = List.copyOf(expired);
         expired.clear();
+        removed.forEach(call -> countRefusal(call, nowNanos));
         return removed;
     }
 
@@ -205,6 +186,16 @@
         }
     }
 
+    @Override
+    public void onAccounts(Collection<AccountDefinition> accounts) {
+        queue.setAccountWeights(AccountWeights.of(accounts));
+    }
+
+    @Override
+    public double servedShareOfWorstAccounts(long nowNanos) {
+        return servedShares.worstTenth(nowNanos);
+    }
+
     @Override
     public int inFlight() {
         return startedByAttempt.size();
@@ -256,6 +247,39 @@
         return errorRatio;
     }
 
+    private AdmissionDecision decide(CallDescription call, long nowNanos) {
+        estimate.advance(inFlight(), nowNanos);
+        long remaining = call.deadlineNanos() - nowNanos;
+        if (remaining <= 0) {
+            return AdmissionDecision.refuse(ErrorCode.DEADLINE_TOO_SHORT);
+        }
+        if (exceedsClassShare(call.callClass())) {
+            return AdmissionDecision.refuse(ErrorCode.CLASS_LIMIT);
+        }
+        int startLimit = call.mayQueue() ? limit() : preferredLimit(nowNanos);
+        boolean free = queue.size() == 0 && inFlight() < startLimit && !isHolding(nowNanos);
+        if (free && coldRateAllowsStart(nowNanos)) {
+            start(call, nowNanos);
+            return AdmissionDecision.start();
+        }
+        if (!call.mayQueue() || (isHolding(nowNanos) && mayMoveAgain(call))) {
+            return AdmissionDecision.refuse(ErrorCode.GUARD_BUSY);
+        }
+        double waitNanos = expectedWaitNanos(call);
+        boolean tooLong = waitNanos > waitLimitNanos(call);
+        if (isMovable(call) && (call.attempt() > 0 || !tooLong)) {
+            return AdmissionDecision.refuse(ErrorCode.GUARD_BUSY);
+        }
+        if (tooLong) {
+            return AdmissionDecision.refuse(ErrorCode.OVERLOADED);
+        }
+        if (waitNanos > remaining) {
+            return AdmissionDecision.refuse(ErrorCode.DEADLINE_TOO_SHORT);
+        }
+        queue.add(call, nowNanos);
+        return AdmissionDecision.queue();
+    }
+
     private int usableSlots() {
         return Math.min(capacity.slots(), capacity.connections());
     }
@@ -315,9 +339,19 @@
         return call.attempt() < FIRST_UNMOVABLE_ATTEMPT;
     }
 
-    private double expectedWaitNanos(String callClass) {
+    private void countRefusal(CallDescription call, long nowNanos) {
+        servedShares.onRefused(AccountWeights.nameOf(call.account()), nowNanos);
+    }
+
+    /**
+     * Returns the expected wait of a call, in nanoseconds. It is long for an account that exceeds
+     * its share, since its own calls are ahead, so that such an account is refused first.
+     */
+    private double expectedWaitNanos(CallDescription call) {
         int limit = limit();
-        double ahead = queue.queuedAhead(callClass) + Math.max(0, inFlight() - limit) + 1;
+        String account = AccountWeights.nameOf(call.account());
+        double queuedAhead = queue.queuedAhead(call.callClass(), account);
+        double ahead = queuedAhead + Math.max(0, inFlight() - limit) + 1;
         double waitNanos = ahead * estimate.recentNanos() / limit;
         return capacity.cold() ? Math.max(waitNanos, coldRateLimit.waitNanos(ahead)) : waitNanos;
     }
@@ -336,6 +370,7 @@
     }
 
     private void start(CallDescription call, long nowNanos) {
+        servedShares.onServed(AccountWeights.nameOf(call.account()), nowNanos);
         coldRateLimit.onStart();
         reportedSlowdown.onStarted(nowNanos);
         throughputLimit.onStarted();
--- a/node/src/main/java/org/dogwoodwood/node/guard/AttemptLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/AttemptLog.java
@@ -42,6 +42,8 @@
                 call.id().call().ingress(),
                 "class",
                 call.description().callClass(),
+                "account",
+                call.description().account().orElse(""),
                 "depth",
                 call.description().depth(),
                 "attempt",
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -85,7 +85,7 @@
         this.protocol = Objects.requireNonNull(protocol, "protocol");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.attemptLog = new AttemptLog(log, protocol);
-        this.admission = new AdmissionHolder(control::routingTable);
+        this.admission = new AdmissionHolder(control::routingTable, metrics);
         this.monitor =
                 new TargetMonitor(
                         vertx,
