Keep calls in their data centre while they can meet their objective there

Cause: the choice compared 16 consecutive targets by node id, which begins with the data centre, so with 52 targets in three data centres about four of ten samples held no local target and calls crossed at random.

Change: candidates are grouped by data centre once for each set. A random sample of the local ones is compared first. A call leaves only if it is expected to miss its objective locally and a sample of another data centre promises better by more than the cost of crossing. A window per data centre limits the calls that one ingress has there.

--- a/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
@@ -25,6 +25,24 @@
             long nowNanos,
             RandomGenerator random);
 
+    /**
+     * Chooses a target for a call that should stay in the local data centre while it can meet its
+     * objective there.
+     *
+     * @param groups the targets of the service that accept new calls, by data centre, not null
+     * @param excluded nodes that have refused this call, not null
+     * @param timeLeft the time that the call has left, not null
+     * @param nowNanos the current time on the monotonic clock, in nanoseconds
+     * @param random the source of randomness, not null
+     * @return the chosen node, or empty if no candidate remains
+     */
+    Optional<NodeId> choose(
+            CandidateGroups groups,
+            Set<NodeId> excluded,
+            TimeLeft timeLeft,
+            long nowNanos,
+            RandomGenerator random);
+
     /**
      * Records that a call was sent to a node.
      *
--- a/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
@@ -1,6 +1,8 @@
 package org.dogwoodwood.core.balancing;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -14,11 +16,31 @@
  */
 public final class ExpectedCompletionStrategy implements BalancingStrategy {
 
+    /** If there are more candidates, a random sample of this size is compared. */
+    private static final int MAX_COMPARED = 16;
+
     /**
-     * If there are more candidates, only this many consecutive ones from a random start are
-     * compared.
+     * Size of the sample in another data centre. Reports from there are older, and a large sample
+     * would lead all senders to the same target.
      */
-    private static final int MAX_COMPARED = 16;
+    private static final int REMOTE_COMPARED = 4;
+
+    private static final int MAX_COMPARED_DATA_CENTRES = 3;
+
+    /**
+     * A call stays in the local data centre if it is expected to be answered within this share of
+     * the time to its objective; the rest is the error of the estimate.
+     */
+    private static final double STAY_SHARE = 0.75;
+
+    /**
+     * The gain for which a call is sent to another data centre, as a share of the usual service
+     * time and at least. Smaller gains are within the error of the estimates, and two data centres
+     * that are both full would exchange calls.
+     */
+    private static final double CROSSING_SHARE = 0.25;
+
+    private static final double MIN_CROSSING_NANOS = 5e6;
 
     /** Minimum service time assumed for a target that has not reported yet. */
     private static final double DEFAULT_SERVICE_NANOS = 10e6;
@@ -47,6 +69,7 @@
     private static final double SLOW_RATIO = 1.5;
 
     private final LoadTable table;
+    private final Map<String, CrossingWindow> windows = new HashMap<>();
 
     private ExpectedCompletionStrategy(LoadTable table) {
         this.table = Objects.requireNonNull(table, "table");
@@ -63,28 +86,43 @@
             Set<NodeId> excluded,
             long nowNanos,
             RandomGenerator random) {
-        int size = candidates.size();
-        if (size == 0) {
-            return Optional.empty();
+        CandidateGroup all = CandidateGroups.ofOneGroup(candidates).local();
+        return nodeOf(best(all, MAX_COMPARED, excluded, nowNanos, random));
+    }
+
+    @Override
+    public Optional<NodeId> choose(
+            CandidateGroups groups,
+            Set<NodeId> excluded,
+            TimeLeft timeLeft,
+            long nowNanos,
+            RandomGenerator random) {
+        Choice local = best(groups.local(), MAX_COMPARED, excluded, nowNanos, random);
+        List<CandidateGroup> others = groups.others();
+        if (others.isEmpty()
+                || local.costNanos() <= STAY_SHARE * timeLeft.usefulNanos()
+                || local.costNanos() <= minUsefulCostNanos()) {
+            return nodeOf(local);
         }
-        boolean sampled = size > MAX_COMPARED;
-        int start = random.nextInt(size);
-        Candidate best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
-        for (int i = 0; i < size; i++) {
-            if (sampled && i >= MAX_COMPARED && best != null) {
-                break;
+        Choice best = local;
+        boolean mayStay = local.candidate() != null;
+        double bestCost = local.costNanos() - crossingNanos();
+        int start = random.nextInt(others.size());
+        int compared = Math.min(MAX_COMPARED_DATA_CENTRES, others.size());
+        for (int i = 0; i < (mayStay ? compared : others.size()); i++) {
+            CandidateGroup group = others.get((start + i) % others.size());
+            CrossingWindow window = windowOf(group);
+            if (mayStay && !window.isOpen()) {
+                continue;
             }
-            Candidate candidate = candidates.get((start + i) % size);
-            if (!excluded.contains(candidate.node())) {
-                double cost = costNanos(candidate, nowNanos);
-                if (cost < bestCost) {
-                    bestCost = cost;
-                    best = candidate;
-                }
+            Choice other = best(group, REMOTE_COMPARED, excluded, nowNanos, random);
+            if (other.costNanos() < bestCost) {
+                bestCost = other.costNanos();
+                best = other;
+                table.of(other.candidate().node()).setCrossing(window);
             }
         }
-        return Optional.ofNullable(best).map(Candidate::node);
+        return nodeOf(best);
     }
 
     @Override
@@ -94,7 +132,7 @@
 
     @Override
     public void onEnded(NodeId node, AttemptResult result, long latencyNanos, long nowNanos) {
-        table.of(node).onEnded(result);
+        table.of(node).onEnded(result, nowNanos);
     }
 
     @Override
@@ -123,6 +161,47 @@
         return table.of(node).reportsSlowdown();
     }
 
+    /** Returns the candidate with the lowest cost in a random sample of a group. */
+    private Choice best(
+            CandidateGroup group,
+            int maxCompared,
+            Set<NodeId> excluded,
+            long nowNanos,
+            RandomGenerator random) {
+        Candidate best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        int compared = 0;
+        for (int i = 0; i < group.size() && (compared < maxCompared || best == null); i++) {
+            Candidate candidate = group.draw(i, random);
+            if (!excluded.contains(candidate.node())) {
+                compared++;
+                double cost = costNanos(candidate, nowNanos);
+                if (cost < bestCost) {
+                    bestCost = cost;
+                    best = candidate;
+                }
+            }
+        }
+        return new Choice(best, bestCost);
+    }
+
+    private CrossingWindow windowOf(CandidateGroup group) {
+        return windows.computeIfAbsent(group.dataCentre(), ignored -> new CrossingWindow());
+    }
+
+    private static Optional<NodeId> nodeOf(Choice choice) {
+        return Optional.ofNullable(choice.candidate()).map(Candidate::node);
+    }
+
+    private double crossingNanos() {
+        return Math.max(MIN_CROSSING_NANOS, CROSSING_SHARE * table.overallServiceNanos());
+    }
+
+    /** Returns the cost at a target with free slots; no other data centre offers less. */
+    private double minUsefulCostNanos() {
+        return table.overallServiceNanos() + crossingNanos();
+    }
+
     /**
      * Returns the expected time to the answer plus penalties, in nanoseconds, or infinity if the
      * target accepts no new calls.
@@ -163,4 +242,7 @@
         }
         return uncertainty * Math.log1p(Math.exp(exponent));
     }
+
+    /** A candidate, null if there is none, and its cost. */
+    private record Choice(Candidate candidate, double costNanos) {}
 }
--- a/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
@@ -1,5 +1,6 @@
 package org.dogwoodwood.core.balancing;
 
+import java.util.Optional;
 import org.dogwoodwood.core.model.LoadReport;
 
 /** The newest load report of one target and this ingress's own calls to it. */
@@ -46,6 +47,12 @@
     private double meanServiceNanos;
     private double ownFailureRatio;
     private double meanSlowdown = 1;
+    private Optional<CrossingWindow> crossing = Optional.empty();
+
+    /** Sets the window of the target's data centre, if that is not the local one. */
+    void setCrossing(CrossingWindow window) {
+        crossing = Optional.of(window);
+    }
 
     boolean onReport(LoadReport newReport, long nowNanos) {
         if (report != null && !newReport.isNewerThan(report)) {
@@ -69,9 +76,11 @@
     void onSent() {
         ownInFlight++;
         sentSinceReport++;
+        crossing.ifPresent(CrossingWindow::onSent);
     }
 
-    void onEnded(AttemptResult result) {
+    void onEnded(AttemptResult result, long nowNanos) {
+        crossing.ifPresent(window -> window.onEnded(result, nowNanos));
         ownInFlight = Math.max(0, ownInFlight - 1);
         if (result != AttemptResult.CANCELLED) {
             double failure = result.countsAgainstTarget() ? 1 : 0;
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -12,6 +12,7 @@
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.balancing.AttemptResult;
+import org.dogwoodwood.core.balancing.TimeLeft;
 import org.dogwoodwood.core.calls.AttemptId;
 import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.model.CallId;
@@ -157,10 +158,17 @@
                         : state.findTarget(owner.get());
             }
         }
-        Optional<RouteTarget> candidate = state.choose(excludedNodes, nowNanos);
+        Optional<RouteTarget> candidate = state.choose(excludedNodes, timeLeft(nowNanos), nowNanos);
         // When all targets have refused, the caller gets the reason from the answer of the best
         // one.
-        return candidate.isPresent() ? candidate : state.choose(reached, nowNanos);
+        return candidate.isPresent()
+                ? candidate
+                : state.choose(reached, timeLeft(nowNanos), nowNanos);
+    }
+
+    private TimeLeft timeLeft(long nowNanos) {
+        return TimeLeft.of(
+                objectiveMillis(nowNanos, 0) * NANOS_PER_MILLI, request.deadlineNanos() - nowNanos);
     }
 
     private boolean isKeyed() {
@@ -324,7 +332,7 @@
         }
         Set<NodeId> excludedNodes = new HashSet<>(excluded);
         openAttempts.values().forEach(attempt -> excludedNodes.add(attempt.target().node()));
-        Optional<RouteTarget> target = state.choose(excludedNodes, nowNanos);
+        Optional<RouteTarget> target = state.choose(excludedNodes, timeLeft(nowNanos), nowNanos);
         if (reportsSpeed
                 && target.filter(other -> state.isSlow(other.node(), nowNanos)).isPresent()) {
             hedgeAfter(recheckNanos);
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -10,7 +10,9 @@
 import org.dogwoodwood.core.balancing.AttemptResult;
 import org.dogwoodwood.core.balancing.BalancingStrategy;
 import org.dogwoodwood.core.balancing.Candidate;
+import org.dogwoodwood.core.balancing.CandidateGroups;
 import org.dogwoodwood.core.balancing.ExpectedCompletionStrategy;
+import org.dogwoodwood.core.balancing.TimeLeft;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.health.OutlierEjection;
 import org.dogwoodwood.core.model.LoadReport;
@@ -51,7 +53,7 @@
     private final Map<NodeId, LoadReport> unavailableReports = new HashMap<>();
     private RoutingTable table = RoutingTable.empty();
     private List<RouteTarget> targets = List.of();
-    private List<Candidate> candidates = List.of();
+    private CandidateGroups candidates = CandidateGroups.of(List.of(), "");
     private long candidatesBuiltNanos;
     private long reportsRequestedNanos;
 
@@ -116,7 +118,7 @@
                             sender.roundTripNanos(target) + dataCentreCostNanos(target),
                             target.suspect()));
         }
-        candidates = List.copyOf(next);
+        candidates = CandidateGroups.of(next, dataCentre);
         requestReportsFromUnavailableTargets(nowNanos);
     }
 
@@ -143,8 +145,9 @@
         return !all.isEmpty() && all.stream().allMatch(RouteTarget::dataCentreOut);
     }
 
-    Optional<RouteTarget> choose(Set<NodeId> excluded, long nowNanos) {
-        return strategy.choose(candidates, excluded, nowNanos, random).flatMap(this::findTarget);
+    Optional<RouteTarget> choose(Set<NodeId> excluded, TimeLeft timeLeft, long nowNanos) {
+        return strategy.choose(candidates, excluded, timeLeft, nowNanos, random)
+                .flatMap(this::findTarget);
     }
 
     Optional<RouteTarget> findTarget(NodeId node) {
