--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
@@ -84,12 +84,16 @@
     private static Frame decode(BoundedReader reader, int type, int elements) throws IOException {
         return switch (type) {
             case HelloFrame.TYPE -> {
-                checkElements(type, elements, 5);
+                // Releases with protocol version 2 and earlier send no data centre, and are
+                // refused by their version rather than as malformed.
+                boolean placed = elements != 5;
+                checkElements(type, elements, placed ? 6 : 5);
                 yield new HelloFrame(
                         reader.readInt(),
                         reader.readNodeId(),
                         reader.readLong(),
-                        reader.readOptionalText());
+                        reader.readOptionalText(),
+                        placed ? reader.readOptionalText() : Optional.empty());
             }
             case PingFrame.TYPE -> {
                 checkElements(type, elements, 2);
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
@@ -71,10 +71,11 @@
     }
 
     private static void packHello(MessageBufferPacker packer, HelloFrame hello) throws IOException {
-        packer.packArrayHeader(5).packInt(HelloFrame.TYPE).packInt(hello.protocolVersion());
+        packer.packArrayHeader(6).packInt(HelloFrame.TYPE).packInt(hello.protocolVersion());
         packText(packer, hello.node().value());
         packer.packLong(hello.incarnation());
         packOptionalText(packer, hello.sharedSecret());
+        packOptionalText(packer, hello.dataCentre());
     }
 
     private static void packCall(MessageBufferPacker packer, CallFrame call) throws IOException {
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/HelloFrame.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/HelloFrame.java
@@ -11,25 +11,40 @@
  * @param node the id of the sender
  * @param incarnation the sender's incarnation
  * @param sharedSecret the shared secret of the installation, empty if it has none
+ * @param dataCentre the sender's data centre, empty if unknown
  */
 public record HelloFrame(
-        int protocolVersion, NodeId node, long incarnation, Optional<String> sharedSecret)
+        int protocolVersion,
+        NodeId node,
+        long incarnation,
+        Optional<String> sharedSecret,
+        Optional<String> dataCentre)
         implements Frame {
 
     public static final int TYPE = 1;
 
     /** The protocol version of this release. */
-    public static final int PROTOCOL_VERSION = 2;
+    public static final int PROTOCOL_VERSION = 3;
 
     /** Checks that the references are present. */
     public HelloFrame {
         Objects.requireNonNull(node, "node");
         Objects.requireNonNull(sharedSecret, "sharedSecret");
+        Objects.requireNonNull(dataCentre, "dataCentre");
     }
 
     /** Returns a frame with this release's protocol version. */
     public static HelloFrame of(NodeId node, long incarnation, Optional<String> sharedSecret) {
-        return new HelloFrame(PROTOCOL_VERSION, node, incarnation, sharedSecret);
+        return of(node, incarnation, sharedSecret, Optional.empty());
+    }
+
+    /** Returns a frame with this release's protocol version and the sender's data centre. */
+    public static HelloFrame of(
+            NodeId node,
+            long incarnation,
+            Optional<String> sharedSecret,
+            Optional<String> dataCentre) {
+        return new HelloFrame(PROTOCOL_VERSION, node, incarnation, sharedSecret, dataCentre);
     }
 
     @Override
--- a/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
@@ -21,6 +22,8 @@
 import org.dogwoodwood.core.model.TargetAnswer;
 import org.dogwoodwood.core.model.TargetState;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 /** Guards against frames that change in transit and malformed ones that cause untyped errors. */
 class FrameCodecTests {
@@ -112,6 +115,18 @@
                         e -> assertThat(e.code()).isEqualTo(ErrorCode.FRAME_TOO_LARGE));
     }
 
+    /** Guards against an older peer that is refused as malformed, so that its version is hidden. */
+    @Test
+    void decodesHelloOfEarlierVersion() throws IOException {
+        MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+        packer.packArrayHeader(5).packInt(HelloFrame.TYPE).packInt(2);
+        packer.packString("a").packLong(1).packNil();
+
+        assertThat(FrameDecoder.decode(packer.toByteArray()))
+                .isEqualTo(
+                        new HelloFrame(2, NodeId.of("a"), 1, Optional.empty(), Optional.empty()));
+    }
+
     @Test
     void toStringOmitsTheSecret() {
         assertThat(HelloFrame.of(NodeId.of("a"), 1, Optional.of("hidden")).toString())
@@ -129,6 +144,7 @@
         Frame[] typed = {
             HelloFrame.of(NodeId.of("a"), 1, Optional.of("s")),
             HelloFrame.of(NodeId.of("a"), -1, Optional.empty()),
+            HelloFrame.of(NodeId.of("a"), 1, Optional.empty(), Optional.of("d")),
             PingFrame.of(Long.MAX_VALUE),
             PongFrame.of(2, Optional.of(REPORT)),
             PongFrame.of(2, Optional.empty()),
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -54,7 +54,7 @@
     private final PeerIdentity identity;
     private final NodeComponents parts;
     private final EventLog log;
-    private final NodeMetrics metrics = NodeMetrics.create();
+    private final NodeMetrics metrics;
     private final AdminRouter adminRouter = AdminRouter.create();
     private final AdminServer adminServer;
     private TrafficLoop loop;
@@ -79,8 +79,9 @@
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.settings = Objects.requireNonNull(settings, "settings");
         this.parts = Objects.requireNonNull(parts, "parts");
+        this.metrics = parts.metrics();
         this.log = Objects.requireNonNull(log, "log");
-        this.identity = new PeerIdentity(settings.nodeId(), incarnation, settings.sharedSecret());
+        this.identity = PeerIdentity.of(settings, incarnation);
         this.adminServer = AdminServer.create(vertx, adminRouter, settings.sharedSecret(), log);
     }
 
@@ -131,6 +132,7 @@
     public Future<Void> stop() {
         leaving = true;
         log.write(LogEvent.NODE_LEAVING, "node", identity.node());
+        log.write(LogEvent.TRAFFIC_TOTALS, metrics.totalFields());
         int leaveMillis = settings.budgets().leaveMillis();
         long limitMillis = leaveMillis + settings.budgets().stopSeconds() * 1_000L;
         long untilNanos = System.nanoTime() + limitMillis * 1_000_000L;
@@ -206,6 +208,8 @@
         pool = PeerPool.create(vertx, loop.context(), identity, PeerTimings.DEFAULT, memory, log);
         pool.setLateAnswerListener(metrics::onLateAnswer);
         peerServer = PeerServer.create(vertx, identity, PeerTimings.DEFAULT, memory, log);
+        peerServer.setSentFrames(pool.sentFrames());
+        pool.sentFrames().publish(metrics);
         return listen(peerServer.start(settings.peerAddress()), "peer", settings.peerAddress())
                 .map(
                         port -> {
--- a/node/src/main/java/org/dogwoodwood/node/NodeComponents.java
+++ b/node/src/main/java/org/dogwoodwood/node/NodeComponents.java
@@ -8,6 +8,7 @@
 import org.dogwoodwood.node.ingress.DefaultCallerProtocol;
 import org.dogwoodwood.node.ingress.IngressLimits;
 import org.dogwoodwood.node.memory.BodyMemory;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 
 /**
  * The replaceable components of a node: its control plane, its protocols and its limit of memory.
@@ -16,12 +17,14 @@
  * @param callers the protocol between callers and the ingress
  * @param target the protocol between the guard and its target
  * @param bodyMemory bounds the sum of the bodies that the process holds
+ * @param metrics receives the measurements of the node
  */
 public record NodeComponents(
         ControlPlaneFactory control,
         CallerProtocol callers,
         TargetProtocol target,
-        BodyMemory bodyMemory) {
+        BodyMemory bodyMemory,
+        NodeMetrics metrics) {
 
     /** Checks that the references are present. */
     public NodeComponents {
@@ -29,12 +32,18 @@
         Objects.requireNonNull(callers, "callers");
         Objects.requireNonNull(target, "target");
         Objects.requireNonNull(bodyMemory, "bodyMemory");
+        Objects.requireNonNull(metrics, "metrics");
     }
 
     /** Creates components that bound bodies by the memory that this process may use. */
     public NodeComponents(
             ControlPlaneFactory control, CallerProtocol callers, TargetProtocol target) {
-        this(control, callers, target, BodyMemory.ofProcess(Runtime.getRuntime().maxMemory()));
+        this(
+                control,
+                callers,
+                target,
+                BodyMemory.ofProcess(Runtime.getRuntime().maxMemory()),
+                NodeMetrics.create());
     }
 
     /** Returns components with the default protocols of callers and targets. */
@@ -47,6 +56,11 @@
 
     /** Returns these components with another bound on bodies. */
     public NodeComponents withBodyMemory(BodyMemory newMemory) {
-        return new NodeComponents(control, callers, target, newMemory);
+        return new NodeComponents(control, callers, target, newMemory, metrics);
+    }
+
+    /** Returns these components with metrics that other parts of the process write to as well. */
+    public NodeComponents withMetrics(NodeMetrics newMetrics) {
+        return new NodeComponents(control, callers, target, bodyMemory, newMetrics);
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -12,6 +12,7 @@
     STOP_INCOMPLETE(105, Severity.WARNING, "The graceful stop ended with calls in flight."),
     SETTINGS_READ(106, Severity.INFO, "SIGHUP came and the settings file was read again."),
     SETTINGS_UNUSABLE(107, Severity.ERROR, "SIGHUP came and the settings file is not valid."),
+    TRAFFIC_TOTALS(108, Severity.INFO, "Totals of sent frames and calls to the log at the stop."),
 
     PEER_CONNECTED(201, Severity.INFO, "A connection to a peer is ready."),
     PEER_CONNECT_FAILED(202, Severity.WARNING, "A peer cannot be reached."),
--- a/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
@@ -8,7 +8,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.function.LongSupplier;
+import java.util.regex.Pattern;
 import org.dogwoodwood.core.ErrorCode;
 
 /**
@@ -21,7 +23,10 @@
     private static final int MAX_LABEL_PAIRS = 512;
     private static final long NANOS_PER_MICRO = 1_000;
 
+    private static final Pattern TOTAL_NAME = Pattern.compile("dogwoodwood_(.*)_total");
+
     private final MetricRegistry registry = new MetricRegistry();
+    private final Map<String, LongSupplier> totals = new ConcurrentSkipListMap<>();
     private final Map<CallLabels, Histogram> latencies = new HashMap<>();
     private final Map<AnswerLabels, Counter> answers = new HashMap<>();
     private final Map<CallLabels, TargetTimes> targetTimes = new HashMap<>();
@@ -126,6 +131,41 @@
         registry.register(name, gauge);
     }
 
+    /**
+     * Adds a counter whose value is read each time the metrics are written, and once at the stop of
+     * the node for its log.
+     *
+     * @param name the name of the metric, which ends in {@code _total}
+     * @param value the value, readable on any thread
+     * @param labels alternating names and values of labels
+     */
+    public void addTotal(String name, LongSupplier value, String... labels) {
+        addGauge(Series.of(name, labels).registryName(), value);
+        totals.put(shortName(name, labels), value);
+    }
+
+    /** Returns alternating short names and values of the totals that are not zero. */
+    public Object[] totalFields() {
+        List<Object> fields = new ArrayList<>();
+        totals.forEach(
+                (name, value) -> {
+                    long total = value.getAsLong();
+                    if (total != 0) {
+                        fields.add(name);
+                        fields.add(total);
+                    }
+                });
+        return fields.toArray();
+    }
+
+    private static String shortName(String name, String... labels) {
+        StringBuilder text = new StringBuilder(TOTAL_NAME.matcher(name).replaceAll("$1"));
+        for (int i = 1; i < labels.length; i += 2) {
+            text.append('.').append(labels[i]);
+        }
+        return text.toString();
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String prometheusText() {
         return PrometheusText.of(registry);
--- a/node/src/main/java/org/dogwoodwood/node/peer/FrameConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/FrameConnection.java
@@ -27,6 +27,7 @@
     private final NetSocket socket;
     private final FrameListener listener;
     private final BodyMemory memory;
+    private final SentFrames sentFrames;
     private final EventLog log;
     private final RecordParser parser;
     private BodyReservation reservation;
@@ -35,20 +36,32 @@
     private boolean firstSkippedPart;
     private boolean open = true;
     private boolean received;
+    private PeerPlace place = PeerPlace.UNKNOWN;
+    // Bytes of the HELLO that was sent before the place of the peer was known.
+    private int unplacedHelloBytes;
 
     private FrameConnection(
-            NetSocket socket, FrameListener listener, BodyMemory memory, EventLog log) {
+            NetSocket socket,
+            FrameListener listener,
+            BodyMemory memory,
+            SentFrames sentFrames,
+            EventLog log) {
         this.socket = socket;
         this.listener = listener;
         this.memory = memory;
+        this.sentFrames = sentFrames;
         this.reservation = memory.reservation();
         this.log = log;
         this.parser = RecordParser.newFixed(WireLimits.PREFIX_BYTES, this::onRecord);
     }
 
     static FrameConnection attach(
-            NetSocket socket, FrameListener listener, BodyMemory memory, EventLog log) {
-        FrameConnection connection = new FrameConnection(socket, listener, memory, log);
+            NetSocket socket,
+            FrameListener listener,
+            BodyMemory memory,
+            SentFrames sentFrames,
+            EventLog log) {
+        FrameConnection connection = new FrameConnection(socket, listener, memory, sentFrames, log);
         socket.handler(connection::onBytes);
         socket.closeHandler(ignored -> connection.onClosed());
         // Vert.x calls the close handler after every failure of the socket.
@@ -65,6 +78,29 @@
         byte[] bytes = FrameEncoder.encode(frame);
         if (open) {
             socket.write(BufferInternal.buffer(Unpooled.wrappedBuffer(bytes)));
+            count(frame, bytes.length);
+        }
+    }
+
+    /** Sets where the peer is, which decides how sent frames are counted. */
+    void setPlace(PeerPlace peerPlace) {
+        place = peerPlace;
+        if (unplacedHelloBytes > 0) {
+            sentFrames.add(FrameKind.HELLO, place, unplacedHelloBytes);
+            unplacedHelloBytes = 0;
+        }
+    }
+
+    PeerPlace place() {
+        return place;
+    }
+
+    private void count(Frame frame, int bytes) {
+        FrameKind kind = FrameKind.of(frame);
+        if (kind == FrameKind.HELLO && place == PeerPlace.UNKNOWN) {
+            unplacedHelloBytes += bytes;
+        } else {
+            sentFrames.add(kind, place, bytes);
         }
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerChannel.java
@@ -253,6 +253,7 @@
                             pool.identity(),
                             pool.timings(),
                             pool.memory(),
+                            pool.sentFrames(),
                             pool.log(),
                             this);
             link.open(pool.client());
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerLink.java
@@ -49,6 +49,7 @@
     private final PeerTimings timings;
     private final PingSchedule pings;
     private final BodyMemory memory;
+    private final SentFrames sentFrames;
     private final EventLog log;
     private final Owner owner;
     private FrameConnection connection;
@@ -64,6 +65,7 @@
             PeerIdentity identity,
             PeerTimings timings,
             BodyMemory memory,
+            SentFrames sentFrames,
             EventLog log,
             Owner owner) {
         this.vertx = vertx;
@@ -72,6 +74,7 @@
         this.timings = timings;
         this.pings = PingSchedule.create(timings);
         this.memory = memory;
+        this.sentFrames = sentFrames;
         this.log = log;
         this.owner = owner;
     }
@@ -134,7 +137,7 @@
             socket.close();
             return;
         }
-        connection = FrameConnection.attach(socket, this, memory, log);
+        connection = FrameConnection.attach(socket, this, memory, sentFrames, log);
         connection.send(identity.hello());
     }
 
@@ -176,6 +179,7 @@
             return;
         }
         ready = true;
+        connection.setPlace(PeerPlace.of(identity.dataCentre(), hello.dataCentre()));
         vertx.cancelTimer(timer);
         log.write(LogEvent.PEER_CONNECTED, "peer", endpoint, "node", hello.node());
         owner.onReady(this, hello);
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerPool.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerPool.java
@@ -39,6 +39,7 @@
     private final Map<Endpoint, PeerChannel> channels = new HashMap<>();
     private Consumer<LoadReport> reportListener = report -> {};
     private Runnable lateAnswerListener = () -> {};
+    private final SentFrames sentFrames = SentFrames.create();
 
     private PeerPool(
             Vertx vertx,
@@ -163,6 +164,11 @@
         return memory;
     }
 
+    /** Returns the counters of the frames that this pool sends. */
+    public SentFrames sentFrames() {
+        return sentFrames;
+    }
+
     EventLog log() {
         return log;
     }
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
@@ -28,6 +28,7 @@
     private final Set<PeerServerConnection> connections = new HashSet<>();
     private volatile Function<ControlFrame, Future<ControlFrame>> controlHandler =
             frame -> Future.failedFuture("This node has no control plane.");
+    private SentFrames sentFrames = SentFrames.create();
     private Context context;
     private NetServer server;
 
@@ -75,6 +76,11 @@
         return server == null ? Future.succeededFuture() : server.close();
     }
 
+    /** Sets the counters of sent frames; must be called before {@link #start}. */
+    public void setSentFrames(SentFrames counters) {
+        sentFrames = Objects.requireNonNull(counters, "counters");
+    }
+
     /** Sets the guard; must be called on the traffic loop. */
     public void setCallHandler(CallHandler handler) {
         callHandler = new BodyLimitedCalls(handler, memory);
@@ -106,6 +112,10 @@
         return memory;
     }
 
+    SentFrames sentFrames() {
+        return sentFrames;
+    }
+
     EventLog log() {
         return log;
     }
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
@@ -43,7 +43,8 @@
     static PeerServerConnection accept(NetSocket socket, PeerServer server) {
         PeerServerConnection accepted = new PeerServerConnection(server);
         accepted.connection =
-                FrameConnection.attach(socket, accepted, server.memory(), server.log());
+                FrameConnection.attach(
+                        socket, accepted, server.memory(), server.sentFrames(), server.log());
         return accepted;
     }
 
@@ -113,6 +114,8 @@
             refuse(ErrorCode.SECRET_MISMATCH.number() + " " + ErrorCode.SECRET_MISMATCH.remedy());
         } else {
             helloReceived = true;
+            Optional<String> own = server.identity().dataCentre();
+            connection.setPlace(PeerPlace.of(own, hello.dataCentre()));
             send(server.identity().hello());
         }
     }
