Bound the memory and the connections that callers can use up

Cause: the decoder bounds the bytes of a head, not its objects (a line of 4 bytes costs about 100), keeps them while the head is incomplete, and decodes all requests of a read before the first is answered; nothing bounded the number of connections.

ConnectionBudget divides 0.2 of the heap and half of the descriptors among the connections of callers and closes the longest waiting ones, large ones first; ordinary ones have a reserved quarter. At most 17 requests of a connection and 128 early calls are decoded. Other HTTP ports accept 64 connections, peers are bounded before HELLO. Heads over a limit get 431 (1007). A permitted head of up to 5,461 lines is carried between nodes (limit of fields was 256).

--- a/codec/src/main/java/org/dogwoodwood/codec/wire/WireLimits.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/WireLimits.java
@@ -15,8 +15,11 @@
     /** The maximum length of a string, such as a path or a header value, in bytes of UTF-8. */
     public static final int MAX_TEXT_BYTES = 64 << 10;
 
-    /** The maximum number of header fields of a request or an answer. */
-    public static final int MAX_HEADERS = 256;
+    /**
+     * The maximum number of header fields of a request or an answer. A head of 32 KiB, the most
+     * that a caller may send, has fewer, since a field takes at least three bytes.
+     */
+    public static final int MAX_HEADERS = 11_000;
 
     private WireLimits() {}
 }
--- a/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
+++ b/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
@@ -17,6 +17,7 @@
     UNKNOWN_SERVICE(1002, 404, Outcome.NOT_RUN, "Use the name of a configured service."),
     REQUEST_TOO_LARGE(1003, 413, Outcome.NOT_RUN, "Send a smaller body."),
     DEPTH_EXCEEDED(1004, 508, Outcome.NOT_RUN, "Look for a loop between services."),
+    HEAD_TOO_LARGE(1007, 431, Outcome.NOT_RUN, "Send fewer or shorter header fields."),
 
     OVERLOADED(2001, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
     CLASS_LIMIT(2002, 429, Outcome.NOT_RUN, "Send fewer requests of this class at a time."),
--- a/node/src/main/java/org/dogwoodwood/node/admin/AdminServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/admin/AdminServer.java
@@ -6,7 +6,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -15,9 +14,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.node.ingress.LimitedPort;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
 import org.dogwoodwood.node.settings.Endpoint;
@@ -29,7 +28,6 @@
     public static final String SECRET_HEADER = "Dogwoodwood-Secret";
 
     private static final int MAX_BODY_BYTES = 256 << 10;
-    private static final int IDLE_SECONDS = 30;
     private static final int INTERNAL_ERROR = 500;
 
     private final Vertx vertx;
@@ -61,12 +59,7 @@
     /** Starts to listen, on the event loop of the calling context, and returns the actual port. */
     public Future<Integer> start(Endpoint endpoint) {
         context = vertx.getOrCreateContext();
-        server =
-                vertx.createHttpServer(
-                        new HttpServerOptions()
-                                .setIdleTimeout(IDLE_SECONDS)
-                                .setIdleTimeoutUnit(TimeUnit.SECONDS));
-        server.requestHandler(this::onRequest);
+        server = LimitedPort.create(vertx, this::onRequest, log);
         return server.listen(endpoint.port(), endpoint.host()).map(HttpServer::actualPort);
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressLimits.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressLimits.java
@@ -1,5 +1,8 @@
 package org.dogwoodwood.node.ingress;
 
+import org.dogwoodwood.core.connections.ConnectionLimits;
+import org.dogwoodwood.node.memory.ProcessDescriptors;
+
 /**
  * The limits that the ingress enforces for every request.
  *
@@ -7,11 +10,22 @@
  *     for its body, in milliseconds
  * @param maxTimeoutMillis the maximum timeout that a caller may set, in milliseconds
  * @param maxHeaderBytes the maximum size of the header section, in bytes
+ * @param connections the limits of all connections together
  */
-public record IngressLimits(int slowSenderMillis, int maxTimeoutMillis, int maxHeaderBytes) {
+public record IngressLimits(
+        int slowSenderMillis,
+        int maxTimeoutMillis,
+        int maxHeaderBytes,
+        ConnectionLimits connections) {
 
     /** The default limits. */
-    public static final IngressLimits DEFAULT = new IngressLimits(10_000, 600_000, 32 << 10);
+    public static final IngressLimits DEFAULT =
+            new IngressLimits(
+                    10_000,
+                    600_000,
+                    32 << 10,
+                    ConnectionLimits.ofProcess(
+                            Runtime.getRuntime().maxMemory(), ProcessDescriptors.max()));
 
     /**
      * The maximum number of services that a call may pass through; call chains are up to 21 deep.
@@ -20,6 +34,6 @@
 
     /** Returns these limits with another time for slow senders. */
     public IngressLimits withSlowSenderMillis(int millis) {
-        return new IngressLimits(millis, maxTimeoutMillis, maxHeaderBytes);
+        return new IngressLimits(millis, maxTimeoutMillis, maxHeaderBytes, connections);
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -1,5 +1,6 @@
 package org.dogwoodwood.node.ingress;
 
+import io.netty.handler.codec.TooLongFrameException;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -32,8 +33,7 @@
 
     private static final int MAX_INITIAL_LINE_BYTES = 16 << 10;
 
-    // Added to the maximum timeout of a call, so that a connection that waits for an answer is not
-    // closed as idle. Above the slow-sender limit.
+    // Above the slow-sender limit; a connection that waits for an answer is not closed as idle.
     private static final int IDLE_MARGIN_SECONDS = 30;
 
     private final Vertx vertx;
@@ -44,6 +44,8 @@
     private final NodeMetrics metrics;
     private final EventLog log;
     private final RequestReader reader;
+    private final CallerConnections connections;
+    private final EarlyCalls earlyCalls = new EarlyCalls();
     private final Promise<Void> idle = Promise.promise();
     private final List<HttpServer> servers = new ArrayList<>();
     private final IdentityHashMap<HttpConnection, RequestPipeline> pipelines =
@@ -68,6 +70,7 @@
         this.memory = Objects.requireNonNull(memory, "memory");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.log = Objects.requireNonNull(log, "log");
+        this.connections = CallerConnections.create(limits.connections(), log).withGauges(metrics);
         this.reader =
                 new RequestReader(
                         vertx,
@@ -101,13 +104,18 @@
         HttpServer server = vertx.createHttpServer(options);
         server.connectionHandler(
                 connection -> {
-                    RequestPipeline pipeline = new RequestPipeline(this::startPipelined);
+                    CallerConnection caller = connections.add(connection);
+                    RequestPipeline pipeline =
+                            new RequestPipeline(
+                                    this::startPipelined, earlyCalls, caller::onAnswered);
                     pipelines.put(connection, pipeline);
-                    StrictFraming.install(connection, options, limits, pipeline::onHead, log);
+                    StrictFraming.install(
+                            connection, options, limits, caller, pipeline::onHead, log);
                     connection.closeHandler(
                             ignored -> {
                                 pipelines.remove(connection);
                                 pipeline.onClosed();
+                                connections.remove(connection);
                             });
                 });
         server.requestHandler(this::onHttp1Request);
@@ -123,13 +131,23 @@
      * @return the port in use
      */
     public Future<Integer> startHttp2(Endpoint endpoint) {
-        HttpServer server = vertx.createHttpServer(options().setHttp2ClearTextEnabled(true));
+        HttpServerOptions options = options().setHttp2ClearTextEnabled(true);
+        options.getInitialSettings()
+                .setMaxHeaderListSize(limits.maxHeaderBytes())
+                .setMaxConcurrentStreams(CallerConnection.MAX_UNANSWERED);
+        HttpServer server = vertx.createHttpServer(options);
+        server.connectionHandler(
+                connection -> {
+                    connections.add(connection).reserveHead(limits.maxHeaderBytes());
+                    connection.closeHandler(ignored -> connections.remove(connection));
+                });
         server.requestHandler(
                 request -> {
                     if (request.version() == HttpVersion.HTTP_2) {
-                        serve(request, withoutPipelining(), Optional.empty());
+                        serveHttp2(request);
                     } else {
-                        refuseFraming(request, "The port is for HTTP/2 with prior knowledge.");
+                        String reason = "The port is for HTTP/2 with prior knowledge.";
+                        refuse(request, ErrorCode.BAD_REQUEST, reason, reason);
                     }
                 });
         return listen(server, endpoint);
@@ -227,8 +245,18 @@
     }
 
     // HTTP/2 has a stream for each request, so its requests do not wait for earlier answers.
-    private static RequestPipeline withoutPipelining() {
-        return new RequestPipeline(head -> Optional.empty());
+    private void serveHttp2(HttpServerRequest request) {
+        CallerConnection caller = connections.get(request.connection());
+        if (caller == null) {
+            return;
+        }
+        if (caller.onHead()) {
+            RequestPipeline pipeline =
+                    new RequestPipeline(head -> Optional.empty(), earlyCalls, caller::onAnswered);
+            serve(request, pipeline, Optional.empty());
+        } else {
+            onInvalidRequest(request, CallerConnection.overloaded());
+        }
     }
 
     private Optional<PipelinedCall> startPipelined(RequestHead head) {
@@ -238,15 +266,32 @@
     }
 
     private void onInvalidRequest(HttpServerRequest request) {
-        Throwable cause = request.decoderResult().cause();
-        refuseFraming(request, cause == null ? "malformed" : String.valueOf(cause.getMessage()));
+        RequestPipeline pipeline = pipelines.get(request.connection());
+        if (pipeline != null && pipeline.hasEarlierRequests()) {
+            // The refusal would be taken for the answer to an earlier request, which may have run.
+            request.connection().close();
+        } else {
+            onInvalidRequest(request, request.decoderResult().cause());
+        }
+    }
+
+    private void onInvalidRequest(HttpServerRequest request, Throwable cause) {
+        String reason = cause == null ? "malformed" : cause.getMessage();
+        if (cause instanceof DogwoodwoodException refused) {
+            refuse(request, refused.code(), AnswerWriter.detailOf(refused), reason);
+        } else if (cause instanceof TooLongFrameException) {
+            refuse(request, ErrorCode.HEAD_TOO_LARGE, "The head exceeds a limit.", reason);
+        } else {
+            refuse(request, ErrorCode.BAD_REQUEST, "The request breaks HTTP.", reason);
+        }
     }
 
-    /** Refuses a request with invalid framing and closes its connection. */
-    private void refuseFraming(HttpServerRequest request, String reason) {
+    /** Refuses a request whose head cannot be read to its end and closes its connection. */
+    private void refuse(HttpServerRequest request, ErrorCode code, String detail, String reason) {
         log.write(LogEvent.REQUEST_REFUSED, "caller", request.remoteAddress(), "reason", reason);
         request.response().putHeader("Connection", "close");
-        protocol.writeError(request, ErrorCode.BAD_REQUEST, "The request breaks HTTP.")
+        metrics.onIngressError(code);
+        protocol.writeError(request, code, detail)
                 .onComplete(ignored -> request.connection().close());
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/ingress/RequestPipeline.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/RequestPipeline.java
@@ -24,6 +24,8 @@
     private static final int MAX_PIPELINED_CALLS = 16;
 
     private final Function<RequestHead, Optional<PipelinedCall>> starter;
+    private final EarlyCalls earlyCalls;
+    private final Runnable answerListener;
     private final Deque<DecodedRequest> undispatched = new ArrayDeque<>();
     private int unanswered;
     private boolean closing;
@@ -33,21 +35,30 @@
      *
      * @param starter starts the call of a request, or returns empty if the call must wait until the
      *     request is dispatched
+     * @param earlyCalls counts the calls that start early on all connections
+     * @param answerListener called after each answer
      */
-    RequestPipeline(Function<RequestHead, Optional<PipelinedCall>> starter) {
+    RequestPipeline(
+            Function<RequestHead, Optional<PipelinedCall>> starter,
+            EarlyCalls earlyCalls,
+            Runnable answerListener) {
         this.starter = starter;
+        this.earlyCalls = earlyCalls;
+        this.answerListener = answerListener;
     }
 
     /**
      * Records that the head of a request was decoded, and starts its call if it may start early.
      */
     void onHead(HttpRequest request) {
-        boolean mayStartEarly = unanswered > 0 && undispatched.size() < MAX_PIPELINED_CALLS;
+        boolean mayStartEarly =
+                unanswered > 0 && undispatched.size() < MAX_PIPELINED_CALLS && earlyCalls.hasRoom();
         unanswered++;
         Optional<PipelinedCall> call =
                 mayStartEarly && request.decoderResult().isSuccess()
                         ? RequestHead.of(request).filter(RequestHead::hasNoBody).flatMap(starter)
                         : Optional.empty();
+        call.ifPresent(started -> earlyCalls.onStarted());
         undispatched.add(new DecodedRequest(request, call));
     }
 
@@ -70,12 +81,15 @@
 
     /** Records that the next request was dispatched, and returns its call if it has started. */
     Optional<PipelinedCall> onDispatched() {
-        return undispatched.remove().call();
+        Optional<PipelinedCall> call = undispatched.remove().call();
+        call.ifPresent(started -> earlyCalls.onDispatchedOrCancelled());
+        return call;
     }
 
     /** Records that the answer to a request was written. */
     void onAnswerWritten() {
         unanswered--;
+        answerListener.run();
     }
 
     /** Records that the connection closes after the current answer. */
@@ -88,6 +102,11 @@
         return closing;
     }
 
+    /** Returns whether requests before the last decoded one have not been answered. */
+    boolean hasEarlierRequests() {
+        return unanswered > 1;
+    }
+
     /** Returns whether a decoded request has not been dispatched yet. */
     boolean hasUndispatchedRequests() {
         return !undispatched.isEmpty();
@@ -95,7 +114,10 @@
 
     /** Cancels the calls whose requests were not dispatched before the caller disconnected. */
     void onClosed() {
-        undispatched.forEach(DecodedRequest::cancel);
+        for (DecodedRequest request : undispatched) {
+            request.cancel();
+            request.call().ifPresent(started -> earlyCalls.onDispatchedOrCancelled());
+        }
         undispatched.clear();
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/ingress/StrictFraming.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/StrictFraming.java
@@ -2,6 +2,8 @@
 
 import static org.dogwoodwood.core.Preconditions.checkState;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpRequest;
 import io.vertx.core.http.HttpConnection;
@@ -23,6 +25,9 @@
 final class StrictFraming {
 
     private static final String DECODER_NAME = "httpDecoder";
+    private static final int MIN_READ_BYTES = 512;
+    private static final int INITIAL_READ_BYTES = 2 << 10;
+    private static final int MAX_READ_BYTES = 16 << 10;
 
     private StrictFraming() {}
 
@@ -34,21 +39,34 @@
             HttpConnection connection,
             HttpServerOptions options,
             IngressLimits limits,
+            CallerConnection caller,
             Consumer<HttpRequest> headListener,
             EventLog log) {
-        checkState(
-                connection instanceof ConnectionBase,
-                "Unsupported connection class of Vert.x; adapt StrictFraming to this version.");
-        ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
+        Channel channel = channelOf(connection);
+        // The default of 64 KiB would be kept for each connection that sends a part of a line.
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new AdaptiveRecvByteBufAllocator(
+                                MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES));
+        ChannelPipeline pipeline = channel.pipeline();
         StrictRequestDecoder decoder =
                 new StrictRequestDecoder(
                         options,
                         limits.slowSenderMillis(),
+                        caller,
                         headListener,
                         () -> onSlowHead(connection, log));
         pipeline.replace(DECODER_NAME, DECODER_NAME, decoder);
     }
 
+    /** Returns the channel of a connection of Vert.x. */
+    static Channel channelOf(HttpConnection connection) {
+        checkState(
+                connection instanceof ConnectionBase,
+                "Unsupported connection class of Vert.x; adapt StrictFraming to this version.");
+        return ((ConnectionBase) connection).channel();
+    }
+
     private static void onSlowHead(HttpConnection connection, EventLog log) {
         log.write(LogEvent.SLOW_SENDER, "caller", connection.remoteAddress(), "part", "head");
         connection.close();
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -51,6 +51,8 @@
             404,
             Severity.ERROR,
             "A request was dispatched out of order, and its connection is closed."),
+    CALLER_DISPLACED(
+            407, Severity.WARNING, "A waiting connection of a caller is closed to make room."),
 
     CALL_REFUSED(451, Severity.INFO, "The node refused a call, which was not run."),
     CALL_RETRIED(452, Severity.INFO, "A call goes to another target."),
--- a/node/src/main/java/org/dogwoodwood/node/peer/FrameConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/FrameConnection.java
@@ -10,6 +10,7 @@
 import org.dogwoodwood.codec.wire.FrameEncoder;
 import org.dogwoodwood.codec.wire.WireLimits;
 import org.dogwoodwood.core.DogwoodwoodException;
+import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
 import org.dogwoodwood.node.memory.BodyMemory;
@@ -32,6 +33,7 @@
     private BodyReservation reservation;
     private boolean expectsPrefix = true;
     private int bytesToSkip;
+    private int maxFrameBytes = WireLimits.MAX_FRAME_BYTES;
     private boolean firstSkippedPart;
     private boolean open = true;
     private boolean received;
@@ -68,6 +70,11 @@
         }
     }
 
+    /** Sets the maximum size of the next frames, in bytes. */
+    void setMaxFrameBytes(int bytes) {
+        maxFrameBytes = bytes;
+    }
+
     /** Closes the connection and notifies the listener, unless it is closed already. */
     void close() {
         if (open) {
@@ -117,6 +124,10 @@
     }
 
     private void onPrefix(int length) {
+        if (length > maxFrameBytes) {
+            throw new DogwoodwoodException(
+                    ErrorCode.FRAME_TOO_LARGE, "A frame before HELLO has " + length + " bytes.");
+        }
         expectsPrefix = false;
         reservation = memory.reservation();
         if (length <= UNCOUNTED_FRAME_BYTES || reservation.tryGrow(length)) {
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
@@ -11,9 +11,12 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.dogwoodwood.codec.wire.ControlFrame;
+import org.dogwoodwood.core.connections.ConnectionBudget;
+import org.dogwoodwood.core.connections.ConnectionLimits;
 import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.memory.BodyMemory;
+import org.dogwoodwood.node.memory.ProcessDescriptors;
 import org.dogwoodwood.node.settings.Endpoint;
 
 /** Accepts connections of peers and passes their frames to the guard and the control plane. */
@@ -26,6 +29,11 @@
     private final BodyMemory memory;
     private final EventLog log;
     private final Set<PeerServerConnection> connections = new HashSet<>();
+    // A connection waits until its HELLO arrives; only such ones are closed to make room.
+    private final ConnectionBudget<PeerServerConnection> budget =
+            ConnectionBudget.of(
+                    ConnectionLimits.ofProcess(
+                            Runtime.getRuntime().maxMemory(), ProcessDescriptors.max() / 2));
     private volatile Function<ControlFrame, Future<ControlFrame>> controlHandler =
             frame -> Future.failedFuture("This node has no control plane.");
     private Context context;
@@ -124,9 +132,16 @@
 
     void onClosed(PeerServerConnection connection) {
         connections.remove(connection);
+        budget.close(connection);
+    }
+
+    void onHello(PeerServerConnection connection) {
+        budget.onBusy(connection);
     }
 
     private void onConnection(NetSocket socket) {
-        connections.add(PeerServerConnection.accept(socket, this));
+        PeerServerConnection accepted = PeerServerConnection.accept(socket, this);
+        connections.add(accepted);
+        budget.open(accepted).forEach(PeerServerConnection::close);
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
@@ -15,6 +15,7 @@
 import org.dogwoodwood.codec.wire.PingFrame;
 import org.dogwoodwood.codec.wire.PongFrame;
 import org.dogwoodwood.codec.wire.ResumeFrame;
+import org.dogwoodwood.codec.wire.WireLimits;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.calls.AttemptId;
@@ -29,6 +30,8 @@
     // not need every report.
     private static final long RECENT_CALL_WINDOW_NANOS = 500_000_000L;
 
+    private static final int MAX_HELLO_BYTES = 4 << 10;
+
     private final PeerServer server;
     private final Set<AttemptId> openAttempts = new HashSet<>();
     private long lastCallNanos = System.nanoTime() - RECENT_CALL_WINDOW_NANOS;
@@ -44,6 +47,8 @@
         PeerServerConnection accepted = new PeerServerConnection(server);
         accepted.connection =
                 FrameConnection.attach(socket, accepted, server.memory(), server.log());
+        // Otherwise, whoever can connect can use up the memory for bodies.
+        accepted.connection.setMaxFrameBytes(MAX_HELLO_BYTES);
         return accepted;
     }
 
@@ -51,7 +56,8 @@
     void tick() {
         // Ticks are counted instead of reading a clock, so that a pause of this process does not
         // close connections whose bytes wait in the socket.
-        silentTicks = connection.takeReceived() ? 0 : silentTicks + 1;
+        boolean received = connection.takeReceived();
+        silentTicks = received && helloReceived ? 0 : silentTicks + 1;
         PeerTimings timings = server.timings();
         if (silentTicks * timings.pingIntervalMillis() > timings.serverTimeoutMillis()) {
             server.log().write(LogEvent.PEER_SILENT, "peer", connection.remoteAddress());
@@ -59,6 +65,10 @@
         }
     }
 
+    void close() {
+        connection.close();
+    }
+
     void send(Frame frame) {
         connection.send(frame);
     }
@@ -113,6 +123,8 @@
             refuse(ErrorCode.SECRET_MISMATCH.number() + " " + ErrorCode.SECRET_MISMATCH.remedy());
         } else {
             helloReceived = true;
+            connection.setMaxFrameBytes(WireLimits.MAX_FRAME_BYTES);
+            server.onHello(this);
             send(server.identity().hello());
         }
     }
--- a/node/src/test/java/org/dogwoodwood/node/ingress/RequestPipelineTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/ingress/RequestPipelineTests.java
@@ -14,7 +14,8 @@
 /** Guards against a request getting the call of another request with equal contents. */
 class RequestPipelineTests {
 
-    private final RequestPipeline pipeline = new RequestPipeline(head -> Optional.empty());
+    private final RequestPipeline pipeline =
+            new RequestPipeline(head -> Optional.empty(), new EarlyCalls(), () -> {});
     private final HttpRequest first = request();
     private final HttpRequest second = request();
 
