Accept no status outside HTTP wherever an answer is read

The decoder reads 0200 and +200 as 200, frames and kept answers carried 600 to 999 (kept answers any number), and the command-line tool took any status.

--- a/cli/src/main/java/org/dogwoodwood/cli/http/SimpleHttpClient.java
+++ b/cli/src/main/java/org/dogwoodwood/cli/http/SimpleHttpClient.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.model.TargetAnswer;
 
 /**
  * An HTTP client with blocking and asynchronous requests. Its threads start with the first request.
@@ -101,12 +102,14 @@
                 body.isEmpty() ? request.send() : request.send(Buffer.buffer(body));
         return response.compose(
                 received ->
-                        received.body()
-                                .map(
-                                        content ->
-                                                new HttpResponse(
-                                                        received.statusCode(),
-                                                        content.toString())));
+                        !TargetAnswer.isFinalStatus(received.statusCode())
+                                ? Future.failedFuture("The status is not one of HTTP.")
+                                : received.body()
+                                        .map(
+                                                content ->
+                                                        new HttpResponse(
+                                                                received.statusCode(),
+                                                                content.toString())));
     }
 
     private static HttpResponse await(
--- a/cli/src/test/java/org/dogwoodwood/cli/http/SimpleHttpClientTests.java
+++ b/cli/src/test/java/org/dogwoodwood/cli/http/SimpleHttpClientTests.java
@@ -1,6 +1,7 @@
 package org.dogwoodwood.cli.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
@@ -10,6 +11,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SimpleHttpClientTests {
 
@@ -38,6 +41,28 @@
         }
     }
 
+    /** Guards against an answer with a status that HTTP does not have. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "600", "101", "2x0"})
+    void anUnknownStatusIsNoAnswer(String status) {
+        NetServer node =
+                vertx.createNetServer()
+                        .connectHandler(
+                                socket ->
+                                        socket.handler(
+                                                request ->
+                                                        socket.write(
+                                                                "HTTP/1.1 " + status + NO_BODY)));
+        int port =
+                node.listen(0, HOST).toCompletionStage().toCompletableFuture().join().actualPort();
+        try (SimpleHttpClient client = SimpleHttpClient.create()) {
+            NetworkAddress address = new NetworkAddress(HOST, port);
+
+            assertThatThrownBy(() -> client.get(address, "/", Map.of(), TIMEOUT))
+                    .isInstanceOf(HttpRequestException.class);
+        }
+    }
+
     private void serve(NetSocket socket) {
         socket.handler(
                 request ->
--- a/codec/src/main/java/org/dogwoodwood/codec/gossip/KeyHandoverFrames.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/gossip/KeyHandoverFrames.java
@@ -184,6 +184,9 @@
     private static TargetAnswer readAnswer(MessageUnpacker unpacker) throws IOException {
         Payloads.expectArrayHeader(unpacker, ANSWER_ELEMENTS);
         int status = unpacker.unpackInt();
+        if (!TargetAnswer.isFinalStatus(status)) {
+            throw new IllegalArgumentException("A stored answer has the status " + status + ".");
+        }
         List<HeaderField> headers = new ArrayList<>();
         int fields = Payloads.readArrayHeader(unpacker, 2 * MAX_HEADERS);
         for (int index = 0; index < fields; index += 2) {
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
@@ -150,7 +150,7 @@
         TargetAnswer answer = TargetAnswer.of(status, reader.readHeaders(), reader.readBytes());
         int errorNumber = reader.readInt();
         boolean answered = outcome == Outcome.ANSWERED;
-        if (answered && (status < 200 || status > 999)) {
+        if (answered && !TargetAnswer.isFinalStatus(status)) {
             throw new IllegalArgumentException("An answer has the HTTP status " + status + ".");
         }
         // Later releases may define more errors; the frame contains their outcome as well.
--- a/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
@@ -112,6 +113,27 @@
                         e -> assertThat(e.code()).isEqualTo(ErrorCode.FRAME_TOO_LARGE));
     }
 
+    /** Guards against a status that reaches a caller through another node. */
+    @Test
+    void rejectsAnAnswerWithAStatusThatHttpDoesNotHave() {
+        for (int status : new int[] {0, 99, 101, 199, 600, 999}) {
+            TargetAnswer answer = TargetAnswer.of(status, HEADERS, new byte[1]);
+            Frame frame = AnswerFrame.of(ID, FinishedCall.answered(answer), Optional.empty());
+
+            assertThat(isRejected(payload(FrameEncoder.encode(frame)))).isTrue();
+        }
+    }
+
+    /** A head of 16,384 bytes may have this many lines; it must also be served by another node. */
+    @Test
+    void carriesTheFieldsOfAPermittedHead() {
+        List<HeaderField> fields = Collections.nCopies(5_461, HeaderField.of("a", ""));
+        TargetAnswer answer = TargetAnswer.of(200, fields, new byte[0]);
+        Frame frame = AnswerFrame.of(ID, FinishedCall.answered(answer), Optional.empty());
+
+        assertThat(decode(FrameEncoder.encode(frame))).isInstanceOf(AnswerFrame.class);
+    }
+
     @Test
     void toStringOmitsTheSecret() {
         assertThat(HelloFrame.of(NodeId.of("a"), 1, Optional.of("hidden")).toString())
--- a/core/src/main/java/org/dogwoodwood/core/model/TargetAnswer.java
+++ b/core/src/main/java/org/dogwoodwood/core/model/TargetAnswer.java
@@ -6,6 +6,9 @@
 /** The complete HTTP answer of a target. */
 public final class TargetAnswer {
 
+    private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_STATUS = 599;
+
     private final int status;
     private final List<HeaderField> headers;
     private final byte[] body;
@@ -27,6 +30,11 @@
         return new TargetAnswer(status, headers, body);
     }
 
+    /** Returns whether a status ends an exchange according to HTTP. */
+    public static boolean isFinalStatus(int status) {
+        return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+    }
+
     /** Returns the HTTP status. */
     public int status() {
         return status;
--- a/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/InvalidResponseException.java
@@ -13,6 +13,10 @@
         return new InvalidResponseException("the status " + status + " is not defined by HTTP");
     }
 
+    static InvalidResponseException statusLine() {
+        return new InvalidResponseException("the status does not consist of three digits");
+    }
+
     static InvalidResponseException coding(String coding) {
         return new InvalidResponseException("the transfer coding '" + coding + "' is unknown");
     }
--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseBytesHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseBytesHandler.java
@@ -1,5 +1,6 @@
 package org.dogwoodwood.node.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,6 +16,8 @@
 
     private final ExchangeState exchange;
     private final ResponseMessageHandler messages;
+    private final StatusLineCheck statusLine = new StatusLineCheck();
+    private int headsBefore;
 
     ResponseBytesHandler(ExchangeState exchange, ResponseMessageHandler messages) {
         this.exchange = exchange;
@@ -30,12 +33,29 @@
             return;
         }
         exchange.onRead();
+        if (!hasValidStatus(bytes)) {
+            ReferenceCountUtil.release(bytes);
+            context.fireExceptionCaught(InvalidResponseException.statusLine());
+            close(context);
+            return;
+        }
         context.fireChannelRead(bytes);
         if ((idle || exchange.hasEnded()) && context.channel().isActive()) {
             closeUnlessBetweenResponses(context);
         }
     }
 
+    private boolean hasValidStatus(Object bytes) {
+        if (!messages.isBetweenResponses()) {
+            return true;
+        }
+        if (statusLine.isComplete() && messages.heads() != headsBefore) {
+            statusLine.reset();
+            headsBefore = messages.heads();
+        }
+        return !(bytes instanceof ByteBuf buffer) || statusLine.accept(buffer);
+    }
+
     /** Nothing may have begun that would be continued by the answer to the next request. */
     private void closeUnlessBetweenResponses(ChannelHandlerContext context) {
         if (!messages.isBetweenResponses() || hasRetainedBytes(context)) {
--- a/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
+++ b/node/src/main/java/org/dogwoodwood/node/http/ResponseMessageHandler.java
@@ -14,6 +14,7 @@
 final class ResponseMessageHandler extends ChannelDuplexHandler {
 
     private boolean betweenResponses = true;
+    private int heads;
     private boolean requestWritten;
     private boolean headRequested;
     private boolean methodForgotten;
@@ -28,6 +29,11 @@
         return betweenResponses;
     }
 
+    /** Returns how many heads the decoder has yielded. */
+    int heads() {
+        return heads;
+    }
+
     /** Starts a check of the decoder; messages that it yields now are dropped. */
     void startCheck() {
         checking = true;
@@ -86,6 +92,7 @@
     /** Returns whether the head may be passed on as it is. */
     private boolean onHead(ChannelHandlerContext context, HttpResponse response) {
         betweenResponses = false;
+        heads++;
         interim = InterimResponses.isInterim(response.status().code());
         Optional<InvalidResponseException> fault = ResponseHeadCheck.faultOf(response);
         if (fault.isPresent()) {
--- a/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AnswerFramingTests.java
@@ -98,6 +98,19 @@
         CODING_UNKNOWN(
                 BROKEN, OK + "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
         STATUS_UNKNOWN(BROKEN, "HTTP/1.1 2000 OK\r\n" + ID + FIVE + "whole"),
+        STATUS_ZERO(BROKEN, "HTTP/1.1 000 OK\r\n" + ID + FIVE + "whole"),
+        STATUS_WITH_LEADING_ZERO(BROKEN, "HTTP/1.1 0200 OK\r\n" + ID + FIVE + "whole"),
+        STATUS_WITH_LEADING_ZERO_IN_PARTS(
+                BROKEN, "HTTP/1.1 02", ScriptedTarget.PAUSE, "00 OK\r\n" + ID + FIVE + "whole"),
+        STATUS_AFTER_INTERIM_WITH_LEADING_ZERO(
+                BROKEN,
+                CONTINUE,
+                ScriptedTarget.PAUSE,
+                "HTTP/1.1 0200 OK\r\n" + ID + FIVE + "whole"),
+        STATUS_WITH_SIGN(BROKEN, "HTTP/1.1 +200 OK\r\n" + ID + FIVE + "whole"),
+        STATUS_OF_LETTERS(BROKEN, "HTTP/1.1 abc OK\r\n" + ID + FIVE + "whole"),
+        STATUS_WITH_A_LETTER(BROKEN, "HTTP/1.1 2x0 OK\r\n" + ID + FIVE + "whole"),
+        STATUS_CUT_OFF(BROKEN, "HTTP/1.1 20", ScriptedTarget.CLOSE),
         STATUS_TOO_HIGH(BROKEN, "HTTP/1.1 600 OK\r\n" + ID + FIVE + "whole"),
 
         TWICE(SUCCEEDED, WHOLE + WHOLE),
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetClientTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetClientTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
@@ -18,6 +19,8 @@
 import org.dogwoodwood.node.support.Waiting;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a full target, which closes connections, being treated as unreachable. */
 class TargetClientTests {
@@ -47,6 +50,22 @@
         assertThat(send(client(port), CALLS).kind()).isEqualTo(TargetResult.Kind.CONNECT_FAILED);
     }
 
+    /** Guards against a health check that an answer with an impossible status passes. */
+    @ParameterizedTest
+    @ValueSource(strings = {"200", "000", "0200", "+200", "2x0", "600", "101"})
+    void healthCheckAcceptsNoStatusThatHttpDoesNotHave(String status) {
+        String answer = "HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n";
+        NetServer target =
+                vertx.createNetServer()
+                        .connectHandler(socket -> socket.handler(bytes -> socket.write(answer)));
+        TargetClient client = client(Waiting.get(target.listen(0, "127.0.0.1")).actualPort());
+
+        Future<PollAnswer> poll = client.poll("/health");
+
+        Waiting.until("the poll has ended", poll::isComplete);
+        assertThat(poll.succeeded()).isEqualTo(status.equals("200"));
+    }
+
     private TargetClient client(int port) {
         return TargetClient.create(
                 vertx,
