--- a/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/wire/FrameCodecTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.EnumSet;
@@ -22,6 +23,8 @@
 import org.dogwoodwood.core.model.TargetAnswer;
 import org.dogwoodwood.core.model.TargetState;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 /** Guards against frames that change in transit and malformed ones that cause untyped errors. */
 class FrameCodecTests {
@@ -134,6 +137,18 @@
         assertThat(decode(FrameEncoder.encode(frame))).isInstanceOf(AnswerFrame.class);
     }
 
+    /** Guards against an older peer that is refused as malformed, so that its version is hidden. */
+    @Test
+    void decodesHelloOfEarlierVersion() throws IOException {
+        MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+        packer.packArrayHeader(5).packInt(HelloFrame.TYPE).packInt(2);
+        packer.packString("a").packLong(1).packNil();
+
+        assertThat(FrameDecoder.decode(packer.toByteArray()))
+                .isEqualTo(
+                        new HelloFrame(2, NodeId.of("a"), 1, Optional.empty(), Optional.empty()));
+    }
+
     @Test
     void toStringOmitsTheSecret() {
         assertThat(HelloFrame.of(NodeId.of("a"), 1, Optional.of("hidden")).toString())
@@ -151,6 +166,7 @@
         Frame[] typed = {
             HelloFrame.of(NodeId.of("a"), 1, Optional.of("s")),
             HelloFrame.of(NodeId.of("a"), -1, Optional.empty()),
+            HelloFrame.of(NodeId.of("a"), 1, Optional.empty(), Optional.of("d")),
             PingFrame.of(Long.MAX_VALUE),
             PongFrame.of(2, Optional.of(REPORT)),
             PongFrame.of(2, Optional.empty()),
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServerConnection.java
@@ -46,7 +46,8 @@
     static PeerServerConnection accept(NetSocket socket, PeerServer server) {
         PeerServerConnection accepted = new PeerServerConnection(server);
         accepted.connection =
-                FrameConnection.attach(socket, accepted, server.memory(), server.log());
+                FrameConnection.attach(
+                        socket, accepted, server.memory(), server.sentFrames(), server.log());
         // Otherwise, whoever can connect can use up the memory for bodies.
         accepted.connection.setMaxFrameBytes(MAX_HELLO_BYTES);
         return accepted;
@@ -125,6 +126,8 @@
             helloReceived = true;
             connection.setMaxFrameBytes(WireLimits.MAX_FRAME_BYTES);
             server.onHello(this);
+            Optional<String> own = server.identity().dataCentre();
+            connection.setPlace(PeerPlace.of(own, hello.dataCentre()));
             send(server.identity().hello());
         }
     }
