Follow a store that comes back from an older copy

The store may return without its last records and assign their offsets again, with a higher Store-Era. A reader then waited at an offset that the store didn't have, or ignored new orders with lower offsets.

The stand-in takes and restores copies.

--- a/core/src/main/java/org/dogwoodwood/core/membership/OrderSnapshot.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/OrderSnapshot.java
@@ -10,8 +10,16 @@
  * @param counter the position; orders of the source with higher counters are newer
  * @param sourceId the order id that the source gives to all of its orders, not null
  * @param orders the orders that the source holds, not null
+ * @param firstCounter the counter of the first order whose absence shows that it was withdrawn; a
+ *     source that came back from an older copy may have lost orders with lower counters
  */
-public record OrderSnapshot(long counter, String sourceId, List<DataCentreOrder> orders) {
+public record OrderSnapshot(
+        long counter, String sourceId, List<DataCentreOrder> orders, long firstCounter) {
+
+    /** Creates a snapshot of a source that has lost no order. */
+    public OrderSnapshot(long counter, String sourceId, List<DataCentreOrder> orders) {
+        this(counter, sourceId, orders, 0);
+    }
 
     /** Copies the orders. */
     public OrderSnapshot {
@@ -23,6 +31,7 @@
     boolean withdraws(DataCentreOrder order) {
         return order.orderId().equals(sourceId)
                 && order.counter() <= counter
+                && order.counter() >= firstCounter
                 && orders.stream().noneMatch(held -> held.dataCentre().equals(order.dataCentre()));
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -138,6 +138,7 @@
         this.membershipReader =
                 new LogReader(
                         vertx, log, LogStreams.MEMBERSHIP, timings, random, membership, events);
+        log.onRestored(membership::onLogRestored);
         this.routingTableBuilder = new RoutingTableBuilder(table, orders, components.keyedCalls());
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/control/MembershipManager.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/MembershipManager.java
@@ -153,6 +153,12 @@
         return order;
     }
 
+    /** Writes again what this node wrote, since the log may have lost it. */
+    void onLogRestored() {
+        recordedOrders.clear();
+        ownRegistration.onLogRestored();
+    }
+
     /** Renews orders near the retention limit and removes members past the expiry time. */
     void maintain(long nowMillis) {
         orders.all().stream()
--- a/node/src/main/java/org/dogwoodwood/node/control/OwnRegistration.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/OwnRegistration.java
@@ -95,6 +95,16 @@
         }
     }
 
+    /** Appends this node's announcement or leave again, since the log may have lost it. */
+    void onLogRestored() {
+        if (table.self().target().state() == TargetState.LEAVING) {
+            appendLeave();
+            return;
+        }
+        appendedAnnouncement = Optional.empty();
+        announcedAtMillis = 0;
+    }
+
     /** Appends the record that this node is leaving. */
     void appendLeave() {
         Member self = table.self();
--- a/node/src/main/java/org/dogwoodwood/node/control/PlatformLog.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/PlatformLog.java
@@ -32,6 +32,12 @@
      */
     Future<Batch> read(String stream, long from, int max, long waitMillis);
 
+    /**
+     * Sets the listener for a log that came back from an older copy, which may lack records that it
+     * had acknowledged. The log then returns all records again, with offsets above those before.
+     */
+    default void onRestored(Runnable listener) {}
+
     /** Closes the connections to the log. */
     Future<Void> close();
 
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -81,7 +81,8 @@
     APPEND_FAILED(610, Severity.WARNING, "An append failed and will be repeated."),
     LOG_STATE_ASSUMED(611, Severity.WARNING, "The version is taken from the first record."),
     CONFIGURATION_DIFFERS(612, Severity.ERROR, "A peer has another document of a version."),
-    LOG_REACHABLE(613, Severity.INFO, "The platform log can be read again.");
+    LOG_REACHABLE(613, Severity.INFO, "The platform log can be read again."),
+    LOG_RESTORED(614, Severity.WARNING, "The platform log came back from an older copy.");
 
     private static final int LINES_PER_SECOND = 10;
 
--- a/standins/src/main/java/org/dogwoodwood/standins/store/StandinStore.java
+++ b/standins/src/main/java/org/dogwoodwood/standins/store/StandinStore.java
@@ -36,6 +36,8 @@
     private HttpServer server;
     private volatile boolean down;
     private volatile boolean losesResponses;
+    private volatile long era;
+    private final Map<String, Topic> copy = new HashMap<>();
     private final AtomicInteger calls = new AtomicInteger();
     private final List<Long> readWaits = new CopyOnWriteArrayList<>();
     private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
@@ -95,8 +97,32 @@
         topic(topic).compact();
     }
 
+    /** Copies all topics; {@link #restoreCopy} brings the store back to this state. */
+    public synchronized void takeCopy() {
+        copy.clear();
+        topics.forEach((name, topic) -> copy.put(name, topic.copied()));
+    }
+
+    /**
+     * Brings the store back from the last copy: what was written since is lost, its offsets are
+     * assigned again, and all responses carry the next era.
+     */
+    public synchronized void restoreCopy() {
+        topics.clear();
+        copy.forEach((name, topic) -> topics.put(name, topic.copied()));
+        era++;
+    }
+
+    /** Returns the newest values of a topic as text, by key. */
+    public synchronized Map<String, String> newestValues(String topic) {
+        Map<String, String> values = new TreeMap<>();
+        topic(topic).newest.forEach((key, entry) -> values.put(key, entry.value().toString()));
+        return values;
+    }
+
     private void onRequest(HttpServerRequest request) {
         calls.incrementAndGet();
+        request.response().putHeader("Store-Era", Long.toString(era));
         if (down) {
             request.response().setStatusCode(503).end();
             return;
@@ -127,21 +153,28 @@
 
     private synchronized void read(
             HttpServerRequest request, Topic topic, long from, int maxBytes, long waitMillis) {
-        if (from < topic.firstOffset) {
+        // Long polls that began before a return from a copy read the topic as it is now.
+        if (from < topic.firstOffset || from > topic.endOffset()) {
             respond(request, 410, new JsonObject().put("first", topic.firstOffset).toBuffer());
         } else if (from < topic.endOffset() || waitMillis <= 0) {
             respond(request, OK, topic.recordsFrom(from, maxBytes));
         } else {
             vertx.setTimer(
                     POLL_INTERVAL_MILLIS,
-                    id -> read(request, topic, from, maxBytes, waitMillis - POLL_INTERVAL_MILLIS));
+                    id -> {
+                        long rest = waitMillis - POLL_INTERVAL_MILLIS;
+                        read(request, topic(request.getParam("topic")), from, maxBytes, rest);
+                    });
         }
     }
 
     private void respond(HttpServerRequest request, int status, Buffer body) {
         boolean silent = silentConnections.contains(request.connection());
         if (!losesResponses && !silent && !request.response().closed()) {
-            request.response().setStatusCode(status).end(body);
+            request.response()
+                    .putHeader("Store-Era", Long.toString(era))
+                    .setStatusCode(status)
+                    .end(body);
         }
     }
 
@@ -157,6 +190,14 @@
         private final Map<String, Entry> newest = new TreeMap<>();
         private long firstOffset;
 
+        Topic copied() {
+            Topic topic = new Topic();
+            topic.entries.addAll(entries);
+            topic.newest.putAll(newest);
+            topic.firstOffset = firstOffset;
+            return topic;
+        }
+
         long endOffset() {
             return firstOffset + entries.size();
         }
