--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
@@ -117,8 +117,9 @@
                 yield PongFrame.of(reader.readLong(), reader.readReport());
             }
             case CallFrame.TYPE -> {
-                checkElements(type, elements, 17);
-                yield readCall(reader);
+                boolean hasAccount = elements == 18;
+                checkElements(type, elements, hasAccount ? 18 : 17);
+                yield readCall(reader, hasAccount);
             }
             case AnswerFrame.TYPE -> {
                 checkElements(type, elements, 9);
@@ -144,7 +145,7 @@
         };
     }
 
-    private static CallFrame readCall(BoundedReader reader) throws IOException {
+    private static CallFrame readCall(BoundedReader reader, boolean hasAccount) throws IOException {
         return new CallFrame(
                 reader.readAttempt(),
                 reader.readLong(),
@@ -161,7 +162,8 @@
                 reader.readOptionalText(),
                 reader.readInt(),
                 reader.readLong(),
-                reader.readBoolean());
+                reader.readBoolean(),
+                hasAccount ? Optional.of(reader.readText()) : Optional.empty());
     }
 
     private static AnswerFrame readAnswer(BoundedReader reader) throws IOException {
@@ -171,7 +173,7 @@
         TargetAnswer answer = TargetAnswer.of(status, reader.readHeaders(), reader.readBytes());
         int errorNumber = reader.readInt();
         boolean answered = outcome == Outcome.ANSWERED;
-        if (answered && (status < 200 || status > 999)) {
+        if (answered && !TargetAnswer.isFinalStatus(status)) {
             throw new IllegalArgumentException("An answer has the HTTP status " + status + ".");
         }
         // Later releases may define more errors; the frame contains their outcome as well.
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/KnownTexts.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/KnownTexts.java
@@ -57,6 +57,7 @@
             found.add(call.id().call().ingress().value());
             found.add(call.service());
             found.add(call.callClass());
+            call.account().ifPresent(found::add);
             found.add(call.request().method());
             addHeaders(call.request().headers(), found);
         } else if (frame instanceof AnswerFrame answer) {
--- a/node/src/main/java/org/dogwoodwood/node/peer/FrameConnection.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/FrameConnection.java
@@ -37,6 +37,7 @@
     private BodyReservation reservation;
     private boolean expectsPrefix = true;
     private int bytesToSkip;
+    private int maxFrameBytes = WireLimits.MAX_FRAME_BYTES;
     private boolean firstSkippedPart;
     private boolean open = true;
     private boolean received;
@@ -122,6 +123,11 @@
         }
     }
 
+    /** Sets the maximum size of the next frames, in bytes. */
+    void setMaxFrameBytes(int bytes) {
+        maxFrameBytes = bytes;
+    }
+
     /** Closes the connection and notifies the listener, unless it is closed already. */
     void close() {
         if (open) {
@@ -171,6 +177,10 @@
     }
 
     private void onPrefix(int length) {
+        if (length > maxFrameBytes) {
+            throw new DogwoodwoodException(
+                    ErrorCode.FRAME_TOO_LARGE, "A frame before HELLO has " + length + " bytes.");
+        }
         expectsPrefix = false;
         reservation = memory.reservation();
         if (length <= UNCOUNTED_FRAME_BYTES || reservation.tryGrow(length)) {
