--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -140,6 +140,7 @@
         this.membershipReader =
                 new LogReader(
                         vertx, log, LogStreams.MEMBERSHIP, timings, random, membership, events);
+        log.onRestored(membership::onLogRestored);
         this.startCheck = new StartCheck(table, exchanger::requestExtraRound);
         this.routingTableBuilder = new RoutingTableBuilder(table, orders, components.keyedCalls());
     }
