--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedIngress.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedIngress.java
@@ -20,6 +20,7 @@
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.Outcome;
 import org.dogwoodwood.core.retry.DefaultRetryStrategy;
+import org.dogwoodwood.core.retry.HedgeBudget;
 import org.dogwoodwood.core.retry.HedgeStrategy;
 import org.dogwoodwood.core.retry.QuantileHedgeStrategy;
 import org.dogwoodwood.core.retry.RetryBudget;
@@ -55,7 +56,10 @@
         this.candidates = candidates;
         this.budget = RetryBudget.of(definition.retryShare());
         this.retries = DefaultRetryStrategy.create(budget);
-        this.hedges = QuantileHedgeStrategy.create(definition.hedgeQuantile(), budget);
+        this.hedges =
+                QuantileHedgeStrategy.create(
+                        definition.hedgeQuantile(),
+                        HedgeBudget.of(definition.hedgeShare(), budget));
     }
 
     void accept(SimulatedCall call) {
--- a/codec/src/main/java/org/dogwoodwood/codec/configuration/DraftBuilder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/configuration/DraftBuilder.java
@@ -121,7 +121,8 @@
                 values.integer(ConfigurationKey.POLICY_CRASH_LIMIT),
                 values.integer(ConfigurationKey.POLICY_CRASH_HOLD_SECONDS),
                 values.number(ConfigurationKey.POLICY_COLD_CALLS_PER_SECOND),
-                values.integer(ConfigurationKey.POLICY_DATA_CENTRE_COST_MILLIS));
+                values.integer(ConfigurationKey.POLICY_DATA_CENTRE_COST_MILLIS),
+                values.number(ConfigurationKey.POLICY_HEDGE_SHARE));
     }
 
     private RouteDefinition toRoute(String name, TypedValues values, SourceLocation location) {
--- a/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
@@ -12,6 +12,7 @@
 import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.membership.TableDigest;
+import org.dogwoodwood.core.model.FreeCapacity;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.TargetState;
 import org.msgpack.core.MessagePacker;
@@ -19,12 +20,13 @@
 
 /**
  * Encodes and decodes the payload of GOSSIP and GOSSIP_REPLY (frames 8 and 9), an array of nine
- * elements.
+ * elements, and a tenth one if there are estimates of free capacity.
  */
 public final class GossipCodec {
 
     private static final int MAX_NAME_BYTES = 255;
     private static final int MAX_ENTRIES = 1_000;
+    private static final int ELEMENTS = 9;
     private static final List<TargetState> TARGET_STATES =
             List.of(
                     TargetState.COLD,
@@ -39,7 +41,8 @@
     public static byte[] encode(GossipMessage message) {
         return Payloads.write(
                 packer -> {
-                    packer.packArrayHeader(9);
+                    boolean hasCapacities = !message.capacities().isEmpty();
+                    packer.packArrayHeader(hasCapacities ? ELEMENTS + 1 : ELEMENTS);
                     writeMember(packer, message.sender());
                     writeDigest(packer, message.digest());
                     packer.packLong(message.ordersHash());
@@ -49,6 +52,13 @@
                     writeList(packer, message.livenessUpdates(), GossipCodec::writeLivenessUpdate);
                     writeList(packer, message.orders(), GossipCodec::writeOrder);
                     writeList(packer, message.crashReports(), GossipCodec::writeCrashReport);
+                    if (hasCapacities) {
+                        String own = message.sender().address().dataCentre();
+                        writeList(
+                                packer,
+                                message.capacities(),
+                                (target, capacity) -> writeCapacity(target, capacity, own));
+                    }
                 });
     }
 
@@ -61,17 +71,27 @@
         return Payloads.read(
                 payload,
                 unpacker -> {
-                    Payloads.expectArrayHeader(unpacker, 9);
-                    return new GossipMessage(
-                            readMember(unpacker),
-                            readDigest(unpacker),
-                            unpacker.unpackLong(),
-                            unpacker.unpackLong(),
-                            unpacker.unpackLong(),
-                            readList(unpacker, GossipCodec::readMember),
-                            readList(unpacker, GossipCodec::readLivenessUpdate),
-                            readList(unpacker, GossipCodec::readOrder),
-                            readList(unpacker, GossipCodec::readCrashReport));
+                    int elements = Payloads.readArrayHeader(unpacker, ELEMENTS + 1);
+                    if (elements < ELEMENTS) {
+                        throw new IllegalArgumentException("A gossip message is incomplete.");
+                    }
+                    GossipMessage message =
+                            new GossipMessage(
+                                    readMember(unpacker),
+                                    readDigest(unpacker),
+                                    unpacker.unpackLong(),
+                                    unpacker.unpackLong(),
+                                    unpacker.unpackLong(),
+                                    readList(unpacker, GossipCodec::readMember),
+                                    readList(unpacker, GossipCodec::readLivenessUpdate),
+                                    readList(unpacker, GossipCodec::readOrder),
+                                    readList(unpacker, GossipCodec::readCrashReport));
+                    if (elements == ELEMENTS) {
+                        return message;
+                    }
+                    String own = message.sender().address().dataCentre();
+                    return message.withCapacities(
+                            readList(unpacker, source -> readCapacity(source, own)));
                 });
     }
 
@@ -171,6 +191,27 @@
                 unpacker.unpackLong());
     }
 
+    // The sender's own data centre, which most estimates are of, is encoded as an empty name.
+    private static void writeCapacity(MessagePacker packer, FreeCapacity capacity, String own)
+            throws IOException {
+        packer.packString(capacity.dataCentre().equals(own) ? "" : capacity.dataCentre());
+        packer.packString(capacity.service());
+        packer.packInt(capacity.freeSlots());
+        packer.packLong(capacity.serviceMicros());
+        packer.packLong(capacity.ageMillis());
+    }
+
+    private static FreeCapacity readCapacity(MessageUnpacker unpacker, String own)
+            throws IOException {
+        String dataCentre = readName(unpacker);
+        return new FreeCapacity(
+                dataCentre.isEmpty() ? own : dataCentre,
+                readName(unpacker),
+                unpacker.unpackInt(),
+                unpacker.unpackLong(),
+                unpacker.unpackLong());
+    }
+
     private static void writeDigest(MessagePacker packer, TableDigest digest) throws IOException {
         packer.packInt(digest.bits());
         packer.packLong(digest.group());
--- a/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
@@ -22,6 +22,7 @@
 import org.dogwoodwood.core.membership.MembershipTimings;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.membership.TableDigest;
+import org.dogwoodwood.core.model.FreeCapacity;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.TargetState;
 import org.junit.jupiter.api.Test;
@@ -59,6 +60,19 @@
         assertThat(GossipCodec.decode(GossipCodec.encode(MESSAGE))).isEqualTo(MESSAGE);
     }
 
+    // Without the sender's data centre, which is encoded as an empty name, an estimate would be
+    // taken for one of the receiver.
+    @Test
+    void keepsEstimatesOfFreeCapacity() {
+        String own = MESSAGE.sender().address().dataCentre();
+        GossipMessage message =
+                MESSAGE.withCapacities(
+                        List.of(
+                                new FreeCapacity(own, "outings", 7, 130_000, 250),
+                                new FreeCapacity("other", "outings", 0, 130_000, 900)));
+        assertThat(GossipCodec.decode(GossipCodec.encode(message))).isEqualTo(message);
+    }
+
     /** Guards against truncated or corrupted payloads that cause any other exception. */
     @Test
     void damagedMessagesCauseOnlyTypedErrors() {
--- a/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.dogwoodwood.core.model.LoadReport;
@@ -31,7 +32,7 @@
      *
      * @param groups the targets of the service that accept new calls, by data centre, not null
      * @param excluded nodes that have refused this call, not null
-     * @param timeLeft the time that the call has left, not null
+     * @param callNeeds the time that the call has left and its size, not null
      * @param nowNanos the current time on the monotonic clock, in nanoseconds
      * @param random the source of randomness, not null
      * @return the chosen node, or empty if no candidate remains
@@ -39,7 +40,7 @@
     Optional<NodeId> choose(
             CandidateGroups groups,
             Set<NodeId> excluded,
-            TimeLeft timeLeft,
+            CallNeeds callNeeds,
             long nowNanos,
             RandomGenerator random);
 
@@ -97,6 +98,41 @@
         return true;
     }
 
+    /**
+     * Sets the number of ingress nodes that read the same reports of free capacity.
+     *
+     * @param count the number, including this one
+     */
+    default void setSenders(int count) {}
+
+    /**
+     * Returns the estimated number of free slots in the local data centre, or empty if no target
+     * there has reported recently. The time it takes grows with the number of local targets, so it
+     * is not called for each call.
+     *
+     * @param groups the targets of the service that accept new calls, by data centre, not null
+     * @param nowNanos the current time in nanoseconds
+     */
+    default OptionalInt freeSlots(CandidateGroups groups, long nowNanos) {
+        return OptionalInt.empty();
+    }
+
+    /**
+     * Returns the present service time of a target as a multiple of the usual one; its report
+     * counts less the older it is.
+     *
+     * @param node the node beside the target
+     * @param nowNanos the current time in nanoseconds
+     */
+    default double slowdown(NodeId node, long nowNanos) {
+        return 1;
+    }
+
+    /** Returns the number of calls that a target runs at a time, or 1 if it is unknown. */
+    default int limit(NodeId node) {
+        return 1;
+    }
+
     /** Returns whether the load reports of a target contain its slowdown. */
     default boolean reportsSlowdown(NodeId node) {
         return false;
--- a/core/src/main/java/org/dogwoodwood/core/balancing/TimeLeft.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/CallNeeds.java
@@ -3,33 +3,31 @@
 import static org.dogwoodwood.core.Preconditions.checkArgument;
 
 /**
- * The time that a call has left when its target is chosen.
+ * What a call needs when its target is chosen.
  *
  * @param objectiveNanos the time within which the answer keeps its full value, in nanoseconds; 0 if
  *     the objective has passed or there is none
  * @param deadlineNanos the time within which the answer is due, in nanoseconds
+ * @param requestBytes the size of the request's body
  */
-public record TimeLeft(long objectiveNanos, long deadlineNanos) {
+public record CallNeeds(long objectiveNanos, long deadlineNanos, long requestBytes) {
 
-    /** Checks that no time is negative. */
-    public TimeLeft {
+    /** Checks that nothing is negative. */
+    public CallNeeds {
         checkArgument(objectiveNanos >= 0, "The time to the objective must not be negative.");
         checkArgument(deadlineNanos >= 0, "The time to the deadline must not be negative.");
-    }
-
-    /** Returns the time left of a call without an objective or a deadline. */
-    public static TimeLeft unlimited() {
-        return new TimeLeft(Long.MAX_VALUE, Long.MAX_VALUE);
+        checkArgument(requestBytes >= 0, "The size of the request must not be negative.");
     }
 
     /**
-     * Returns the time left of a call; times that have passed count as 0.
+     * Returns the needs of a call; times that have passed count as 0.
      *
      * @param objectiveNanos the time to the objective, in nanoseconds
      * @param deadlineNanos the time to the deadline, in nanoseconds
+     * @param requestBytes the size of the request's body
      */
-    public static TimeLeft of(long objectiveNanos, long deadlineNanos) {
-        return new TimeLeft(Math.max(0, objectiveNanos), Math.max(0, deadlineNanos));
+    public static CallNeeds of(long objectiveNanos, long deadlineNanos, long requestBytes) {
+        return new CallNeeds(Math.max(0, objectiveNanos), Math.max(0, deadlineNanos), requestBytes);
     }
 
     /** Returns the time by which the call gains most: to its objective, or else to its deadline. */
--- a/core/src/main/java/org/dogwoodwood/core/balancing/CandidateGroup.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/CandidateGroup.java
@@ -22,6 +22,10 @@
         return candidates.length;
     }
 
+    Candidate get(int index) {
+        return candidates[index];
+    }
+
     /**
      * Returns the next candidate of a sample without replacement, which does not allocate: the
      * array remains a permutation of the candidates, and its first elements are the sample.
--- a/core/src/main/java/org/dogwoodwood/core/balancing/CandidateGroups.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/CandidateGroups.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.stream.Stream;
 
 /**
  * The candidates of a service grouped by data centre, built once for each set of candidates and not
@@ -59,6 +60,13 @@
         return size;
     }
 
+    /** Returns the names of the data centres, the local one first. */
+    public List<String> dataCentres() {
+        return Stream.concat(Stream.of(local), others.stream())
+                .map(CandidateGroup::dataCentre)
+                .toList();
+    }
+
     CandidateGroup local() {
         return local;
     }
--- a/core/src/main/java/org/dogwoodwood/core/balancing/CrossingWindow.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/CrossingWindow.java
@@ -21,6 +21,11 @@
         return inFlight < (int) size;
     }
 
+    /** Returns whether no answer has opened the window yet, or refusals have closed it again. */
+    boolean isInitial() {
+        return size < 2;
+    }
+
     void onSent() {
         inFlight++;
     }
@@ -35,7 +40,8 @@
         }
     }
 
-    private void reduce(long nowNanos) {
+    /** Halves the window, once for all reasons within a short time. */
+    void reduce(long nowNanos) {
         if (!reduced || nowNanos - lastReductionNanos >= REDUCTION_INTERVAL_NANOS) {
             reduced = true;
             lastReductionNanos = nowNanos;
--- a/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
@@ -1,10 +1,9 @@
 package org.dogwoodwood.core.balancing;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.dogwoodwood.core.model.LoadReport;
@@ -25,8 +24,6 @@
      */
     private static final int REMOTE_COMPARED = 4;
 
-    private static final int MAX_COMPARED_DATA_CENTRES = 3;
-
     /**
      * A call stays in the local data centre if it is expected to be answered within this share of
      * the time to its objective; the rest is the error of the estimate.
@@ -42,6 +39,9 @@
 
     private static final double MIN_CROSSING_NANOS = 5e6;
 
+    /** Time to send one byte at 10 Mbit/s, which the slowest VMs have. */
+    private static final double TRANSFER_NANOS_PER_BYTE = 800;
+
     /** Minimum service time assumed for a target that has not reported yet. */
     private static final double DEFAULT_SERVICE_NANOS = 10e6;
 
@@ -68,16 +68,28 @@
     /** Smaller slowdowns are within the error of the guards' estimates. */
     private static final double SLOW_RATIO = 1.5;
 
+    private static final double UNKNOWN = Double.NaN;
+
     private final LoadTable table;
-    private final Map<String, CrossingWindow> windows = new HashMap<>();
+    private final Crossings crossings;
 
-    private ExpectedCompletionStrategy(LoadTable table) {
+    private ExpectedCompletionStrategy(LoadTable table, CapacitySource capacities) {
         this.table = Objects.requireNonNull(table, "table");
+        this.crossings = new Crossings(capacities);
     }
 
     /** Returns a strategy without any load information. */
     public static ExpectedCompletionStrategy create() {
-        return new ExpectedCompletionStrategy(LoadTable.create());
+        return create((dataCentre, nowNanos) -> Optional.empty());
+    }
+
+    /**
+     * Returns a strategy without any load information.
+     *
+     * @param capacities the reports of other data centres on the service, not null
+     */
+    public static ExpectedCompletionStrategy create(CapacitySource capacities) {
+        return new ExpectedCompletionStrategy(LoadTable.create(), capacities);
     }
 
     @Override
@@ -94,35 +106,83 @@
     public Optional<NodeId> choose(
             CandidateGroups groups,
             Set<NodeId> excluded,
-            TimeLeft timeLeft,
+            CallNeeds callNeeds,
             long nowNanos,
             RandomGenerator random) {
         Choice local = best(groups.local(), MAX_COMPARED, excluded, nowNanos, random);
         List<CandidateGroup> others = groups.others();
         if (others.isEmpty()
-                || local.costNanos() <= STAY_SHARE * timeLeft.usefulNanos()
+                || local.costNanos() <= STAY_SHARE * callNeeds.usefulNanos()
                 || local.costNanos() <= minUsefulCostNanos()) {
             return nodeOf(local);
         }
-        Choice best = local;
-        boolean mayStay = local.candidate() != null;
-        double bestCost = local.costNanos() - crossingNanos();
-        int start = random.nextInt(others.size());
-        int compared = Math.min(MAX_COMPARED_DATA_CENTRES, others.size());
-        for (int i = 0; i < (mayStay ? compared : others.size()); i++) {
-            CandidateGroup group = others.get((start + i) % others.size());
-            CrossingWindow window = windowOf(group);
-            if (mayStay && !window.isOpen()) {
-                continue;
+        if (local.candidate() == null) {
+            return nodeOf(bestOfAll(others, excluded, nowNanos, random));
+        }
+        Optional<CandidateGroup> group = crossings.choose(others, nowNanos, random);
+        if (group.isEmpty()) {
+            return nodeOf(local);
+        }
+        Choice other = best(group.get(), REMOTE_COMPARED, excluded, nowNanos, random);
+        return nodeOf(gains(local, other, callNeeds) ? crossing(group.get(), other) : local);
+    }
+
+    @Override
+    public void setSenders(int count) {
+        crossings.setSenders(count);
+    }
+
+    @Override
+    public OptionalInt freeSlots(CandidateGroups groups, long nowNanos) {
+        CandidateGroup local = groups.local();
+        double overallNanos = table.overallServiceNanos();
+        double free = 0;
+        int known = 0;
+        for (int i = 0; i < local.size(); i++) {
+            TargetLoad load = table.of(local.get(i).node());
+            if (load.hasRecentReport(nowNanos)) {
+                known++;
+                double speed = overallNanos / load.serviceNanos(nowNanos, overallNanos);
+                double slots = load.limit() - load.expectedLoad(nowNanos, overallNanos, UNKNOWN);
+                free += load.acceptsWork(0) ? Math.max(0, slots) * Math.min(1, speed) : 0;
             }
-            Choice other = best(group, REMOTE_COMPARED, excluded, nowNanos, random);
-            if (other.costNanos() < bestCost) {
-                bestCost = other.costNanos();
-                best = other;
-                table.of(other.candidate().node()).setCrossing(window);
+        }
+        return known == 0
+                ? OptionalInt.empty()
+                : OptionalInt.of((int) Math.round(free * local.size() / known));
+    }
+
+    /**
+     * Returns whether a call gains enough from another data centre: it is answered in time there,
+     * or it would be refused here.
+     */
+    private boolean gains(Choice local, Choice other, CallNeeds callNeeds) {
+        double transferNanos = callNeeds.requestBytes() * TRANSFER_NANOS_PER_BYTE;
+        double otherNanos = other.costNanos() + transferNanos;
+        boolean useful =
+                otherNanos <= callNeeds.usefulNanos()
+                        || local.costNanos() > callNeeds.deadlineNanos();
+        return useful && otherNanos + crossingNanos() < local.costNanos();
+    }
+
+    private Choice bestOfAll(
+            List<CandidateGroup> groups,
+            Set<NodeId> excluded,
+            long nowNanos,
+            RandomGenerator random) {
+        Choice best = new Choice(null, Double.POSITIVE_INFINITY);
+        for (CandidateGroup group : groups) {
+            Choice choice = best(group, REMOTE_COMPARED, excluded, nowNanos, random);
+            if (choice.costNanos() < best.costNanos()) {
+                best = crossing(group, choice);
             }
         }
-        return nodeOf(best);
+        return best;
+    }
+
+    private Choice crossing(CandidateGroup group, Choice choice) {
+        table.of(choice.candidate().node()).setCrossing(crossings.windowOf(group));
+        return choice;
     }
 
     @Override
@@ -143,7 +203,7 @@
     @Override
     public long expectedWaitNanos(NodeId node, long nowNanos) {
         TargetLoad load = table.of(node);
-        return load.hasReport() ? (long) waitNanos(load, nowNanos) : 0;
+        return load.hasReport() ? (long) waitNanos(load, nowNanos, UNKNOWN) : 0;
     }
 
     @Override
@@ -156,6 +216,17 @@
         return table.of(node).slowdown(nowNanos) >= SLOW_RATIO;
     }
 
+    @Override
+    public double slowdown(NodeId node, long nowNanos) {
+        return table.of(node).slowdown(nowNanos);
+    }
+
+    @Override
+    public int limit(NodeId node) {
+        TargetLoad load = table.of(node);
+        return load.hasReport() ? load.limit() : 1;
+    }
+
     @Override
     public boolean reportsSlowdown(NodeId node) {
         return table.of(node).reportsSlowdown();
@@ -168,6 +239,10 @@
             Set<NodeId> excluded,
             long nowNanos,
             RandomGenerator random) {
+        double knownFreeSlots = UNKNOWN;
+        if (maxCompared == REMOTE_COMPARED) {
+            knownFreeSlots = crossings.freeSlotsOfEach(group, nowNanos);
+        }
         Candidate best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         int compared = 0;
@@ -175,7 +250,7 @@
             Candidate candidate = group.draw(i, random);
             if (!excluded.contains(candidate.node())) {
                 compared++;
-                double cost = costNanos(candidate, nowNanos);
+                double cost = costNanos(candidate, nowNanos, knownFreeSlots);
                 if (cost < bestCost) {
                     bestCost = cost;
                     best = candidate;
@@ -185,10 +260,6 @@
         return new Choice(best, bestCost);
     }
 
-    private CrossingWindow windowOf(CandidateGroup group) {
-        return windows.computeIfAbsent(group.dataCentre(), ignored -> new CrossingWindow());
-    }
-
     private static Optional<NodeId> nodeOf(Choice choice) {
         return Optional.ofNullable(choice.candidate()).map(Candidate::node);
     }
@@ -206,7 +277,7 @@
      * Returns the expected time to the answer plus penalties, in nanoseconds, or infinity if the
      * target accepts no new calls.
      */
-    private double costNanos(Candidate candidate, long nowNanos) {
+    private double costNanos(Candidate candidate, long nowNanos, double knownFreeSlots) {
         TargetLoad load = table.of(candidate.node());
         double cost =
                 candidate.roundTripNanos() + (candidate.suspect() ? SUSPECT_PENALTY_NANOS : 0);
@@ -221,15 +292,17 @@
             return cost + service * (1 + load.ownInFlight());
         }
         double service = load.serviceNanos(nowNanos, table.overallServiceNanos());
-        double wait = waitNanos(load, nowNanos);
+        double wait = waitNanos(load, nowNanos, knownFreeSlots);
         double failures = Math.max(0, load.failureRatio(nowNanos) - TOLERATED_FAILURE_RATIO);
         return cost + wait + service + failures * FAILURE_PENALTY_NANOS;
     }
 
-    private double waitNanos(TargetLoad load, long nowNanos) {
+    private double waitNanos(TargetLoad load, long nowNanos, double knownFreeSlots) {
         int limit = load.limit();
         double overallNanos = table.overallServiceNanos();
-        double excess = expectedExcess(load.expectedLoad(nowNanos, overallNanos) + 1, limit);
+        double excess =
+                expectedExcess(
+                        load.expectedLoad(nowNanos, overallNanos, knownFreeSlots) + 1, limit);
         return excess * load.serviceNanos(nowNanos, overallNanos) / limit;
     }
 
--- a/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
@@ -24,6 +24,8 @@
      */
     private static final double STALE_REPORT_NANOS = 5e9;
 
+    private static final long RECENT_REPORT_NANOS = 2_000_000_000L;
+
     /** Time constant for the decay of a reported slowdown; slow phases last about as long. */
     private static final double SLOWDOWN_DECAY_NANOS = 600e6;
 
@@ -92,6 +94,11 @@
         return report != null;
     }
 
+    /** Returns whether the report is recent enough to count towards the free capacity. */
+    boolean hasRecentReport(long nowNanos) {
+        return report != null && nowNanos - reportNanos <= RECENT_REPORT_NANOS;
+    }
+
     boolean acceptsWork(long incarnation) {
         return report == null || report.incarnation() < incarnation || report.state().acceptsWork();
     }
@@ -109,14 +116,17 @@
      *
      * @param nowNanos the current time in nanoseconds
      * @param overallNanos the mean service time over all targets of the service, in nanoseconds
+     * @param knownFreeSlots the free slots of each target of its data centre, by a newer report
+     *     than that of the target; NaN if there is none
      */
-    double expectedLoad(long nowNanos, double overallNanos) {
+    double expectedLoad(long nowNanos, double overallNanos, double knownFreeSlots) {
         // If no slowdown is reported, the overall mean includes slow phases of other targets.
         double callNanos = report.hasSlowdown() ? overallNanos : 0;
         double decayNanos = Math.max(MIN_LOAD_DECAY_NANOS, callNanos);
         double weight = reportWeight(decayNanos, nowNanos);
         double reported = report.inFlight() + report.queued();
-        double aged = weight * reported + (1 - weight) * meanLoad;
+        double usual = Double.isNaN(knownFreeSlots) ? meanLoad : limit() - knownFreeSlots;
+        double aged = weight * reported + (1 - weight) * usual;
         return Math.max(ownInFlight, aged + sentSinceReport);
     }
 
--- a/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/ConfigurationKey.java
@@ -131,6 +131,12 @@
             PolicyDefinition.DEFAULT_DATA_CENTRE_COST_MILLIS,
             ValueRange.closed(0, 60_000),
             policy(PolicyDefinition::dataCentreCostMillis)),
+    POLICY_HEDGE_SHARE(
+            "hedge_share",
+            "share of the calls of a service; 0 for no hedges",
+            PolicyDefinition.DEFAULT_HEDGE_SHARE,
+            ValueRange.closed(0, 0.2),
+            policy(PolicyDefinition::hedgeShare)),
 
     ROUTE_HOST("host", ValueType.TEXT, "", null, route(RouteDefinition::host)),
     ROUTE_PATH_PREFIX("path_prefix", ValueType.TEXT, "", "/", route(RouteDefinition::pathPrefix)),
--- a/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
@@ -15,6 +15,7 @@
  * @param coldCallsPerSecond the maximum rate of calls to a cold target, per second; 0 for no limit
  * @param dataCentreCostMillis how much longer a call may take in the local data centre before a
  *     target in another one is preferred, in milliseconds
+ * @param hedgeShare hedges as a share of the calls of a service, from 0 to 0.2; 0 for no hedges
  */
 public record PolicyDefinition(
         String name,
@@ -26,7 +27,8 @@
         int crashLimit,
         int crashHoldSeconds,
         double coldCallsPerSecond,
-        int dataCentreCostMillis)
+        int dataCentreCostMillis,
+        double hedgeShare)
         implements ConfigurationObject {
 
     public static final double DEFAULT_RETRY_SHARE = 0.1;
@@ -38,6 +40,53 @@
     public static final int DEFAULT_CRASH_HOLD_SECONDS = 600;
     public static final double DEFAULT_COLD_CALLS_PER_SECOND = 0;
     public static final int DEFAULT_DATA_CENTRE_COST_MILLIS = 0;
+    public static final double DEFAULT_HEDGE_SHARE = 0.02;
+
+    /** Creates a policy with the default share of hedges. */
+    public PolicyDefinition(
+            String name,
+            double retryShare,
+            double hedgeQuantile,
+            int queueLimitMillis,
+            int coldSlots,
+            double ejectionShare,
+            int crashLimit,
+            int crashHoldSeconds,
+            double coldCallsPerSecond,
+            int dataCentreCostMillis) {
+        this(
+                name,
+                retryShare,
+                hedgeQuantile,
+                queueLimitMillis,
+                coldSlots,
+                ejectionShare,
+                crashLimit,
+                crashHoldSeconds,
+                coldCallsPerSecond,
+                dataCentreCostMillis,
+                DEFAULT_HEDGE_SHARE);
+    }
+
+    /**
+     * Returns this policy with another share of hedges.
+     *
+     * @param newHedgeShare hedges as a share of the calls of a service, from 0 to 0.2
+     */
+    public PolicyDefinition withHedgeShare(double newHedgeShare) {
+        return new PolicyDefinition(
+                name,
+                retryShare,
+                hedgeQuantile,
+                queueLimitMillis,
+                coldSlots,
+                ejectionShare,
+                crashLimit,
+                crashHoldSeconds,
+                coldCallsPerSecond,
+                dataCentreCostMillis,
+                newHedgeShare);
+    }
 
     /** Returns a policy with the given name and all defaults. */
     public static PolicyDefinition withDefaults(String name) {
--- a/core/src/main/java/org/dogwoodwood/core/membership/GossipMessage.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/GossipMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.dogwoodwood.core.model.FreeCapacity;
 
 /**
  * The content of one message of a gossip exchange.
@@ -15,6 +16,7 @@
  * @param livenessUpdates observed liveness of members
  * @param orders data centre orders
  * @param crashReports observations about requests that may crash targets
+ * @param capacities estimates of the free capacity of services
  */
 public record GossipMessage(
         Member sender,
@@ -25,7 +27,8 @@
         List<Member> members,
         List<LivenessUpdate> livenessUpdates,
         List<DataCentreOrder> orders,
-        List<CrashReport> crashReports) {
+        List<CrashReport> crashReports,
+        List<FreeCapacity> capacities) {
 
     /** Checks that the references are present and copies the lists. */
     public GossipMessage {
@@ -35,5 +38,45 @@
         livenessUpdates = List.copyOf(livenessUpdates);
         orders = List.copyOf(orders);
         crashReports = List.copyOf(crashReports);
+        capacities = List.copyOf(capacities);
+    }
+
+    /** Creates a message without estimates of free capacity. */
+    public GossipMessage(
+            Member sender,
+            TableDigest digest,
+            long ordersHash,
+            long configurationVersion,
+            long configurationHash,
+            List<Member> members,
+            List<LivenessUpdate> livenessUpdates,
+            List<DataCentreOrder> orders,
+            List<CrashReport> crashReports) {
+        this(
+                sender,
+                digest,
+                ordersHash,
+                configurationVersion,
+                configurationHash,
+                members,
+                livenessUpdates,
+                orders,
+                crashReports,
+                List.of());
+    }
+
+    /** Returns this message with the given estimates of free capacity. */
+    public GossipMessage withCapacities(List<FreeCapacity> newCapacities) {
+        return new GossipMessage(
+                sender,
+                digest,
+                ordersHash,
+                configurationVersion,
+                configurationHash,
+                members,
+                livenessUpdates,
+                orders,
+                crashReports,
+                newCapacities);
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/retry/QuantileHedgeStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/retry/QuantileHedgeStrategy.java
@@ -19,12 +19,12 @@
     private static final double PERCENT = 100.0;
 
     private final double quantile;
-    private final RetryBudget budget;
+    private final HedgeBudget budget;
     private Histogram current = newHistogram();
     private Histogram previous = newHistogram();
     private OptionalLong delayNanos = OptionalLong.empty();
 
-    private QuantileHedgeStrategy(double quantile, RetryBudget budget) {
+    private QuantileHedgeStrategy(double quantile, HedgeBudget budget) {
         this.quantile = quantile;
         this.budget = Objects.requireNonNull(budget, "budget");
     }
@@ -33,9 +33,9 @@
      * Returns a strategy that sends no hedges until it has recorded enough latencies.
      *
      * @param quantile the quantile, from 0 (inclusive) to 1 (exclusive); 0 for no hedges
-     * @param budget the budget that hedges share with retries, not null
+     * @param budget the budget of hedges, not null
      */
-    public static QuantileHedgeStrategy create(double quantile, RetryBudget budget) {
+    public static QuantileHedgeStrategy create(double quantile, HedgeBudget budget) {
         checkArgument(quantile >= 0 && quantile < 1, "The quantile must be from 0 to below 1.");
         return new QuantileHedgeStrategy(quantile, budget);
     }
--- a/core/src/main/java/org/dogwoodwood/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/dogwoodwood/core/retry/RetryBudget.java
@@ -2,9 +2,7 @@
 
 import static org.dogwoodwood.core.Preconditions.checkArgument;
 
-/**
- * Token bucket that limits retries and hedges to a share of the successful calls. Not thread-safe.
- */
+/** Token bucket that limits retries to a share of the successful calls. Not thread-safe. */
 public final class RetryBudget {
 
     /** Maximum number of saved tokens, so that a retry storm cannot follow a long quiet period. */
@@ -22,6 +20,7 @@
     private final double share;
     private double maxTokens = MAX_TOKENS;
     private double tokens = INITIAL_TOKENS;
+    private double spentByHedges;
 
     private RetryBudget(double share) {
         this.share = share;
@@ -51,9 +50,23 @@
     /** Adds the tokens earned by one successful call. */
     public void onSuccess() {
         tokens = Math.min(maxTokens, tokens + share);
+        spentByHedges = Math.max(0, spentByHedges - share);
     }
 
-    /** Spends one retry or hedge; returns false if the budget is exhausted. */
+    /**
+     * Spends what retries leave of the budget on a hedge. A hedge doesn't reduce the retries that
+     * are possible, since those recover from a failure; it is possible only while more tokens are
+     * saved than earlier hedges have spent.
+     */
+    boolean trySpendRest() {
+        if (tokens - spentByHedges < 1) {
+            return false;
+        }
+        spentByHedges += 1;
+        return true;
+    }
+
+    /** Spends one retry; returns false if the budget is exhausted. */
     public boolean trySpend() {
         if (tokens < 1) {
             return false;
--- a/core/src/test/java/org/dogwoodwood/core/balancing/PlacementReplay.java
+++ b/core/src/test/java/org/dogwoodwood/core/balancing/PlacementReplay.java
@@ -9,6 +9,9 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.dogwoodwood.core.model.FreeCapacity;
 import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.TargetState;
@@ -27,7 +30,8 @@
 
     private static final long OBJECTIVE = 500 * MILLI;
     private static final long CROSSING = 4_500_000L;
-    private static final int INGRESSES = 8;
+    private static final long GOSSIP_INTERVAL = 500 * MILLI;
+    private static final int INGRESSES = 24;
 
     final Map<String, Integer> crossed = new HashMap<>();
     int stayed;
@@ -41,20 +45,21 @@
                     Comparator.comparingLong(Event::nanos).thenComparingLong(Event::order));
     private final Map<NodeId, Target> targets = new HashMap<>();
     private final List<Candidate> all = new ArrayList<>();
-    private final Map<String, List<Ingress>> ingresses = new HashMap<>();
+    private final Map<String, List<Ingress>> ingresses = new TreeMap<>();
     private long now;
     private long order;
 
     PlacementReplay(Map<String, Integer> targetsByDataCentre) {
-        targetsByDataCentre.forEach(
-                (dataCentre, count) -> {
-                    for (int i = 0; i < count; i++) {
-                        NodeId node = NodeId.of(dataCentre + "-" + i);
-                        targets.put(node, new Target(node, dataCentre));
-                        all.add(new Candidate(node, 1, dataCentre, MILLI, false));
-                    }
-                });
-        for (String dataCentre : targetsByDataCentre.keySet()) {
+        new TreeMap<>(targetsByDataCentre)
+                .forEach(
+                        (dataCentre, count) -> {
+                            for (int i = 0; i < count; i++) {
+                                NodeId node = NodeId.of(dataCentre + "-" + i);
+                                targets.put(node, new Target(node, dataCentre));
+                                all.add(new Candidate(node, 1, dataCentre, MILLI, false));
+                            }
+                        });
+        for (String dataCentre : new TreeSet<>(targetsByDataCentre.keySet())) {
             List<Candidate> seen = new ArrayList<>();
             for (Candidate candidate : all) {
                 long roundTrip = candidate.dataCentre().equals(dataCentre) ? MILLI : 2 * CROSSING;
@@ -64,10 +69,11 @@
             }
             List<Ingress> group = new ArrayList<>();
             for (int i = 0; i < INGRESSES; i++) {
-                group.add(new Ingress(dataCentre, CandidateGroups.of(seen, dataCentre)));
+                group.add(Ingress.create(dataCentre, CandidateGroups.of(seen, dataCentre)));
             }
             ingresses.put(dataCentre, group);
         }
+        exchangeCapacities();
     }
 
     /** Returns the calls per second that the targets of a data centre can serve. */
@@ -84,7 +90,7 @@
         late = 0;
         refused = 0;
         long end = now + (long) (seconds * SECOND);
-        callsPerSecond.forEach((from, rate) -> scheduleArrival(from, rate, end));
+        new TreeMap<>(callsPerSecond).forEach((from, rate) -> scheduleArrival(from, rate, end));
         while (!events.isEmpty() && events.peek().nanos() <= end) {
             Event event = events.poll();
             now = event.nanos();
@@ -119,11 +125,44 @@
 
     private record Event(long nanos, long order, Runnable action) {}
 
+    /** Exchanges estimates of free capacity between all pairs of nodes, as old as gossip is. */
+    private void exchangeCapacities() {
+        List<Ingress> nodes = ingresses.values().stream().flatMap(List::stream).toList();
+        for (Ingress node : nodes) {
+            node.strategy()
+                    .freeSlots(node.groups(), now)
+                    .ifPresent(free -> node.capacities().add(node.estimate(free), now));
+        }
+        for (Ingress from : nodes) {
+            Ingress to = nodes.get(random.nextInt(nodes.size()));
+            sendCapacities(from, to);
+            sendCapacities(to, from);
+        }
+        at(now + GOSSIP_INTERVAL, this::exchangeCapacities);
+    }
+
+    private void sendCapacities(Ingress from, Ingress to) {
+        List<FreeCapacity> message = from.capacities().messageTo(to.dataCentre(), now);
+        at(now + CROSSING, () -> message.forEach(entry -> to.capacities().add(entry, now)));
+    }
+
     private record Ingress(
-            String dataCentre, CandidateGroups groups, ExpectedCompletionStrategy strategy) {
+            String dataCentre,
+            CandidateGroups groups,
+            CapacityTable capacities,
+            ExpectedCompletionStrategy strategy) {
+
+        static Ingress create(String dataCentre, CandidateGroups groups) {
+            CapacityTable capacities = CapacityTable.create(dataCentre);
+            ExpectedCompletionStrategy strategy =
+                    ExpectedCompletionStrategy.create(
+                            (name, nowNanos) -> capacities.find("s", name, nowNanos));
+            strategy.setSenders(3 * INGRESSES);
+            return new Ingress(dataCentre, groups, capacities, strategy);
+        }
 
-        Ingress(String dataCentre, CandidateGroups groups) {
-            this(dataCentre, groups, ExpectedCompletionStrategy.create());
+        FreeCapacity estimate(int freeSlots) {
+            return new FreeCapacity(dataCentre, "s", freeSlots, 0, 0);
         }
     }
 
@@ -140,10 +179,11 @@
         }
 
         void send() {
-            TimeLeft timeLeft = TimeLeft.of(arrived + OBJECTIVE - now, arrived + 2 * SECOND - now);
+            CallNeeds callNeeds =
+                    CallNeeds.of(arrived + OBJECTIVE - now, arrived + 2 * SECOND - now, 0);
             NodeId node =
                     ingress.strategy()
-                            .choose(ingress.groups(), excluded, timeLeft, now, random)
+                            .choose(ingress.groups(), excluded, callNeeds, now, random)
                             .orElseThrow();
             Target target = targets.get(node);
             boolean local = target.dataCentre.equals(ingress.dataCentre());
--- a/core/src/test/java/org/dogwoodwood/core/retry/RetryTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/retry/RetryTests.java
@@ -107,7 +107,7 @@
     // Hedges based on too few samples double the load right after a start.
     @Test
     void hedgesAfterTheMeasuredQuantileOnly() {
-        HedgeStrategy hedges = QuantileHedgeStrategy.create(0.95, budget);
+        HedgeStrategy hedges = QuantileHedgeStrategy.create(0.95, HedgeBudget.of(0.02, budget));
         for (int i = 0; i < 150; i++) {
             hedges.onAnswered(i * 1_000_000L);
         }
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlPlane.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.core.routing.RoutingTable;
 
@@ -57,6 +58,14 @@
      */
     default void reportCleared(Set<Long> fingerprints) {}
 
+    /**
+     * Returns the free capacity of services by data centre, which nodes exchange; empty if this
+     * control plane exchanges none.
+     */
+    default Optional<CapacityTable> capacities() {
+        return Optional.empty();
+    }
+
     /** Returns the stream of registered members, or empty if this control plane reads none. */
     default Optional<MembershipLog> membershipLog() {
         return Optional.empty();
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -13,6 +13,7 @@
 import org.dogwoodwood.codec.log.LogStreams;
 import org.dogwoodwood.codec.wire.ControlFrame;
 import org.dogwoodwood.core.DogwoodwoodException;
+import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.core.membership.DataCentreOrders;
@@ -80,6 +81,7 @@
             ControlComponents components,
             RandomGenerator random,
             CrashEvidence crashEvidence,
+            CapacityTable capacities,
             Consumer<RoutingTable> publisher,
             EventLog events) {
         this.vertx = vertx;
@@ -99,7 +101,8 @@
                         System.nanoTime());
         this.strategy = GossipStrategy.create(table, orders, random);
         this.exchanger =
-                new GossipExchanger(vertx, transport, settings, table, strategy, random, this);
+                new GossipExchanger(
+                        vertx, transport, settings, table, strategy, capacities, random, this);
         this.appender = new LogAppender(vertx, log, timings, random, table::size, events);
         this.configurationManager =
                 new ConfigurationManager(
--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -21,6 +21,7 @@
 import org.dogwoodwood.codec.wire.ControlFrame;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
+import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.membership.RegistrationList;
 import org.dogwoodwood.core.membership.StableHash;
@@ -36,6 +37,7 @@
     private final Vertx vertx;
     private final PeerTransport transport;
     private final ControlSettings settings;
+    private final CapacityTable capacities;
     private final ControlComponents components;
     private final RandomGenerator random;
     private final EventLog events;
@@ -61,6 +63,7 @@
         this.vertx = vertx;
         this.transport = transport;
         this.settings = settings;
+        this.capacities = CapacityTable.create(settings.address().dataCentre());
         this.components = components;
         this.random = random;
         this.crashEvidence = RegistryCrashEvidence.create(settings.node(), settings.incarnation());
@@ -165,6 +168,11 @@
         return onControlThread(() -> state.stop()).compose(done -> vertx.undeploy(deploymentId));
     }
 
+    @Override
+    public Optional<CapacityTable> capacities() {
+        return Optional.of(capacities);
+    }
+
     @Override
     public RoutingTable routingTable() {
         return routingTable;
@@ -281,6 +289,7 @@
                         components,
                         random,
                         crashEvidence,
+                        capacities,
                         this::publish,
                         events);
         entryListeners.forEach(state::onMembershipEntry);
--- a/node/src/main/java/org/dogwoodwood/node/control/GossipExchanger.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/GossipExchanger.java
@@ -11,6 +11,7 @@
 import org.dogwoodwood.codec.gossip.GossipCodec;
 import org.dogwoodwood.codec.gossip.IndirectPing;
 import org.dogwoodwood.codec.wire.ControlFrame;
+import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.membership.GossipMessage;
 import org.dogwoodwood.core.membership.GossipPace;
 import org.dogwoodwood.core.membership.GossipRound;
@@ -39,6 +40,7 @@
     private final ControlSettings settings;
     private final MembershipTable table;
     private final GossipStrategy strategy;
+    private final CapacityTable capacities;
     private final RandomGenerator random;
     private final Listener listener;
     private final GossipPace pace = GossipPace.create(System.nanoTime());
@@ -64,6 +66,7 @@
             ControlSettings settings,
             MembershipTable table,
             GossipStrategy strategy,
+            CapacityTable capacities,
             RandomGenerator random,
             Listener listener) {
         this.vertx = vertx;
@@ -71,6 +74,7 @@
         this.settings = settings;
         this.table = table;
         this.strategy = strategy;
+        this.capacities = capacities;
         this.random = random;
         this.listener = listener;
     }
@@ -122,7 +126,11 @@
     ControlFrame answerGossip(ControlFrame frame) {
         long now = System.nanoTime();
         GossipMessage request = GossipCodec.decode(frame.payload());
-        GossipMessage reply = strategy.reply(request, now);
+        String peerDataCentre = request.sender().address().dataCentre();
+        GossipMessage reply =
+                strategy.reply(request, now)
+                        .withCapacities(capacities.messageTo(peerDataCentre, now));
+        request.capacities().forEach(capacity -> capacities.add(capacity, now));
         listener.onMessage(request);
         return ControlFrame.of(ControlFrameTypes.GOSSIP_REPLY, GossipCodec.encode(reply));
     }
@@ -181,7 +189,9 @@
 
     private Future<Void> exchange(NodeAddress address) {
         long sentNanos = System.nanoTime();
-        GossipMessage request = strategy.request(sentNanos);
+        GossipMessage request =
+                strategy.request(sentNanos)
+                        .withCapacities(capacities.messageTo(address.dataCentre(), sentNanos));
         ControlFrame frame = ControlFrame.of(ControlFrameTypes.GOSSIP, GossipCodec.encode(request));
         return transport
                 .exchange(
@@ -202,7 +212,9 @@
             return;
         }
         long before = table.self().version();
-        strategy.receive(reply, System.nanoTime());
+        long now = System.nanoTime();
+        strategy.receive(reply, now);
+        reply.capacities().forEach(capacity -> capacities.add(capacity, now));
         // A reply that raises this node's version came from a peer that suspected this node, and
         // does not acknowledge its lease.
         if (table.self().version() == before) {
--- a/node/src/main/java/org/dogwoodwood/node/ingress/CallerProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/CallerProtocol.java
@@ -35,4 +35,19 @@
      * @return a future that completes when the answer is written
      */
     Future<Void> writeError(HttpServerRequest request, ErrorCode code, String detail);
+
+    /**
+     * Writes an error answer to a call that was refused; has no effect if the caller has
+     * disconnected.
+     *
+     * @param request the request, not null
+     * @param code the reason why there is no answer of a target, not null
+     * @param detail what happened, without the remedy
+     * @param retryAfterNanos the time after which the caller may return, in nanoseconds
+     * @return a future that completes when the answer is written
+     */
+    default Future<Void> writeError(
+            HttpServerRequest request, ErrorCode code, String detail, long retryAfterNanos) {
+        return writeError(request, code, detail);
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.dogwoodwood.core.balancing.CallNeeds;
+import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.configuration.ServiceDefinition;
@@ -33,6 +35,7 @@
     private final PeerIdentity identity;
     private final String dataCentre;
     private final ControlPlane control;
+    private final CapacityTable capacities;
     private AttemptSender sender;
     private final KeyRouter keyRouter;
     private final NodeMetrics metrics;
@@ -57,6 +60,7 @@
         this.identity = Objects.requireNonNull(identity, "identity");
         this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
         this.control = Objects.requireNonNull(control, "control");
+        this.capacities = control.capacities().orElseGet(() -> CapacityTable.create(dataCentre));
         this.keyRouter = Objects.requireNonNull(keyRouter, "keyRouter");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.random = Objects.requireNonNull(random, "random");
@@ -104,6 +108,13 @@
         return call;
     }
 
+    /** Returns the time after which the caller of a refused request should return. */
+    long retryAfterNanos(IngressRequest request) {
+        long nowNanos = System.nanoTime();
+        CallNeeds needs = CallNeeds.of(0, request.deadlineNanos() - nowNanos, 0);
+        return stateOf(request.service()).retryAfterNanos(needs, nowNanos);
+    }
+
     RoutingTable routingTable() {
         return control.routingTable();
     }
@@ -137,8 +148,16 @@
                         .getOrDefault(
                                 service.policy(), PolicyDefinition.withDefaults(service.policy()));
         ServiceState state = services.get(service.name());
-        if (state == null || !state.policy().equals(policy)) {
-            state = new ServiceState(service.name(), dataCentre, policy, sender, random);
+        if (state == null || !state.tryUpdate(policy)) {
+            state =
+                    new ServiceState(
+                            service.name(),
+                            dataCentre,
+                            policy,
+                            sender,
+                            capacities,
+                            metrics,
+                            random);
             services.put(service.name(), state);
         }
         return state;
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -12,12 +12,13 @@
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.balancing.AttemptResult;
-import org.dogwoodwood.core.balancing.TimeLeft;
+import org.dogwoodwood.core.balancing.CallNeeds;
 import org.dogwoodwood.core.calls.AttemptId;
 import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.model.CallId;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.Outcome;
+import org.dogwoodwood.core.retry.HedgeDecision;
 import org.dogwoodwood.core.routing.RouteTarget;
 import org.dogwoodwood.node.peer.AttemptAnswer;
 
@@ -61,7 +62,9 @@
     private int targetsReached;
     private long deadlineTimer = -1;
     private long hedgeTimer = -1;
-    private boolean startedInSlowPhase;
+    private double firstSlowdown = 1;
+    private int hedgesSent;
+    private int hedgesWon;
     private boolean ended;
 
     IngressCall(
@@ -99,7 +102,7 @@
     void cancel() {
         if (!ended) {
             ended = true;
-            cancelTimers();
+            release();
             log.onCancelled(attemptsMade);
             cancelOpenAttempts(AttemptResult.CANCELLED);
         }
@@ -133,7 +136,8 @@
         long waitNanos = state.expectedWaitNanos(target.get().node(), nowNanos);
         boolean mayQueue =
                 state.retries().mayQueue(attemptsMade, untried, waitNanos, state.serviceNanos());
-        send(target.get(), mayQueue || isKeyed(), nowNanos);
+        firstSlowdown = 1;
+        send(target.get(), mayQueue || isKeyed(), waitNanos, nowNanos);
     }
 
     private ErrorCode noTargetError() {
@@ -158,25 +162,31 @@
                         : state.findTarget(owner.get());
             }
         }
-        Optional<RouteTarget> candidate = state.choose(excludedNodes, timeLeft(nowNanos), nowNanos);
+        Optional<RouteTarget> candidate =
+                state.choose(excludedNodes, callNeeds(nowNanos), nowNanos);
         // When all targets have refused, the caller gets the reason from the answer of the best
         // one.
         return candidate.isPresent()
                 ? candidate
-                : state.choose(reached, timeLeft(nowNanos), nowNanos);
+                : state.choose(reached, callNeeds(nowNanos), nowNanos);
     }
 
-    private TimeLeft timeLeft(long nowNanos) {
-        return TimeLeft.of(
-                objectiveMillis(nowNanos, 0) * NANOS_PER_MILLI, request.deadlineNanos() - nowNanos);
+    private CallNeeds callNeeds(long nowNanos) {
+        return CallNeeds.of(
+                objectiveMillis(nowNanos, 0) * NANOS_PER_MILLI,
+                request.deadlineNanos() - nowNanos,
+                request.content().body().length);
     }
 
     private boolean isKeyed() {
         return request.key().isPresent() && !request.idempotent();
     }
 
-    private void send(RouteTarget target, boolean mayQueue, long nowNanos) {
+    private void send(RouteTarget target, boolean mayQueue, long waitNanos, long nowNanos) {
         int attempt = attemptsMade++;
+        if (attempt == 0) {
+            state.onFirstSent();
+        }
         // The guard's deadline is earlier by the round trip: the guard must end a call that is
         // still queued so early that its definite result arrives before the caller's deadline, and
         // the answer of a target that meets its deadline must still arrive in time.
@@ -197,7 +207,14 @@
                         request.depth(),
                         fingerprint,
                         mayQueue);
-        OpenAttempt sent = new OpenAttempt(frame.id(), target, nowNanos, mayQueue);
+        OpenAttempt sent =
+                new OpenAttempt(
+                        frame.id(),
+                        target,
+                        nowNanos,
+                        mayQueue,
+                        mayQueue ? waitNanos : 0,
+                        hedgesSent > 0 && !openAttempts.isEmpty());
         openAttempts.put(attempt, sent);
         state.onSent(target.node(), nowNanos);
         ingress.metrics().onAttempt();
@@ -227,6 +244,7 @@
             if (attemptResultOf(finished) == AttemptResult.SUCCEEDED) {
                 state.onSuccess(latencyNanos);
             }
+            hedgesWon = attempt.hedge() ? 1 : 0;
             logAnswered(attempt, finished);
             end(finished);
             return;
@@ -319,29 +337,35 @@
             return;
         }
         long nowNanos = System.nanoTime();
-        NodeId current = currentTarget();
-        boolean reportsSpeed = state.reportsSpeed(current);
-        long recheckNanos = reportsSpeed ? SLOWNESS_CHECK_NANOS : state.hedges().recheckNanos();
+        OpenAttempt first = openAttempts.values().iterator().next();
+        NodeId current = first.target().node();
         // Work that started in a slow phase stays slow after the phase has ended.
-        startedInSlowPhase |= state.isSlow(current, nowNanos);
-        if (!startedInSlowPhase) {
-            // A hedge does not speed up a call whose work is long, but the target may still become
-            // slow.
-            hedgeAfter(recheckNanos);
-            return;
-        }
-        Set<NodeId> excludedNodes = new HashSet<>(excluded);
-        openAttempts.values().forEach(attempt -> excludedNodes.add(attempt.target().node()));
-        Optional<RouteTarget> target = state.choose(excludedNodes, timeLeft(nowNanos), nowNanos);
-        if (reportsSpeed
-                && target.filter(other -> state.isSlow(other.node(), nowNanos)).isPresent()) {
-            hedgeAfter(recheckNanos);
-            return;
+        firstSlowdown = Math.max(firstSlowdown, state.slowdown(current, nowNanos));
+        HedgeDecision decision = HedgeDecision.WAIT;
+        Optional<RouteTarget> target = Optional.empty();
+        if (HedgeDecision.isSlow(firstSlowdown)) {
+            Set<NodeId> excludedNodes = new HashSet<>(excluded);
+            excludedNodes.add(current);
+            target = state.choose(excludedNodes, callNeeds(nowNanos), nowNanos);
+            if (target.isPresent()) {
+                decision =
+                        state.decideHedge(
+                                target.get().node(),
+                                callNeeds(nowNanos),
+                                nowNanos - first.sentNanos(),
+                                firstSlowdown,
+                                first.expectedWaitNanos(),
+                                nowNanos);
+            }
         }
-        if (target.isPresent() && state.hedges().tryHedge()) {
+        if (decision == HedgeDecision.WAIT) {
+            boolean reported = state.reportsSpeed(current);
+            hedgeAfter(reported ? SLOWNESS_CHECK_NANOS : state.hedges().recheckNanos());
+        } else if (decision == HedgeDecision.SEND && state.hedges().tryHedge()) {
             ingress.metrics().onHedge();
+            hedgesSent++;
             log.onHedged(current, target.get().node());
-            send(target.get(), false, nowNanos);
+            send(target.get(), false, 0, nowNanos);
         }
     }
 
@@ -374,7 +398,7 @@
             return;
         }
         ended = true;
-        cancelTimers();
+        release();
         cancelOpenAttempts(AttemptResult.CANCELLED);
         boolean definite = finished.answer().isPresent() || unknownResult.isEmpty();
         FinishedCall result = definite ? finished : unknownResult.get();
@@ -397,9 +421,10 @@
         }
     }
 
-    private void cancelTimers() {
+    private void release() {
         vertx.cancelTimer(deadlineTimer);
         vertx.cancelTimer(hedgeTimer);
+        ingress.metrics().onHedgesEnded(hedgesWon, hedgesSent - hedgesWon);
     }
 
     private static AttemptResult attemptResultOf(FinishedCall finished) {
@@ -414,5 +439,10 @@
     }
 
     private record OpenAttempt(
-            AttemptId id, RouteTarget target, long sentNanos, boolean mayQueue) {}
+            AttemptId id,
+            RouteTarget target,
+            long sentNanos,
+            boolean mayQueue,
+            long expectedWaitNanos,
+            boolean hedge) {}
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -345,9 +345,7 @@
             int status =
                     finished.answer().isPresent()
                             ? writeAnswer(finished.answer().get())
-                            : writeError(
-                                    finished.error().orElseThrow(),
-                                    "The call ended without an answer.");
+                            : writeRefusal(read, finished.error().orElseThrow());
             metrics.onAnswered(
                     read.service().name(),
                     read.callClass(),
@@ -368,16 +366,31 @@
             }
         }
 
-        private int writeError(ErrorCode error, String detail) {
+        private int writeRefusal(IngressRequest read, ErrorCode error) {
+            ErrorCode code = callerError(error);
+            String detail = "The call ended without an answer.";
+            if (!code.hasRetryAfter()) {
+                return writeError(code, detail);
+            }
+            closeIfDraining();
+            metrics.onIngressError(code);
+            protocol.writeError(request, code, detail, ingress.retryAfterNanos(read));
+            return code.httpStatus();
+        }
+
+        private int writeError(ErrorCode code, String detail) {
             closeIfDraining();
-            // GUARD_BUSY describes a single guard, which does not help the caller: all guards are
-            // busy.
-            ErrorCode code = error == ErrorCode.GUARD_BUSY ? ErrorCode.OVERLOADED : error;
             metrics.onIngressError(code);
             protocol.writeError(request, code, detail);
             return code.httpStatus();
         }
 
+        private static ErrorCode callerError(ErrorCode error) {
+            // GUARD_BUSY describes a single guard, which does not help the caller: all guards are
+            // busy.
+            return error == ErrorCode.GUARD_BUSY ? ErrorCode.OVERLOADED : error;
+        }
+
         private void closeIfDraining() {
             if (draining
                     && !pipeline.hasUndispatchedRequests()
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -5,25 +5,33 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.dogwoodwood.core.balancing.AttemptResult;
 import org.dogwoodwood.core.balancing.BalancingStrategy;
+import org.dogwoodwood.core.balancing.CallNeeds;
 import org.dogwoodwood.core.balancing.Candidate;
 import org.dogwoodwood.core.balancing.CandidateGroups;
+import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.balancing.ExpectedCompletionStrategy;
-import org.dogwoodwood.core.balancing.TimeLeft;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.health.OutlierEjection;
+import org.dogwoodwood.core.model.FreeCapacity;
 import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.retry.DefaultRetryStrategy;
+import org.dogwoodwood.core.retry.HedgeBudget;
+import org.dogwoodwood.core.retry.HedgeDecision;
 import org.dogwoodwood.core.retry.HedgeStrategy;
+import org.dogwoodwood.core.retry.HedgeView;
 import org.dogwoodwood.core.retry.QuantileHedgeStrategy;
 import org.dogwoodwood.core.retry.RetryBudget;
 import org.dogwoodwood.core.retry.RetryStrategy;
+import org.dogwoodwood.core.retry.ReturnSchedule;
 import org.dogwoodwood.core.routing.RouteTarget;
 import org.dogwoodwood.core.routing.RoutingTable;
+import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.peer.AttemptSender;
 
 /**
@@ -36,50 +44,82 @@
     private static final long MAX_CANDIDATES_AGE_NANOS = 20_000_000L;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long NANOS_PER_MICRO = 1_000L;
+
+    // Gossip carries the free capacity to another data centre about once a second.
+    private static final long CAPACITY_INTERVAL_NANOS = 250_000_000L;
 
     // The interval between requests for a load report to a guard whose target accepts no work.
     private static final long REPORT_REQUEST_INTERVAL_NANOS = 200_000_000L;
 
     private final String service;
     private final String dataCentre;
-    private final PolicyDefinition policy;
+    private PolicyDefinition policy;
     private final AttemptSender sender;
     private final RandomGenerator random;
-    private final BalancingStrategy strategy = ExpectedCompletionStrategy.create();
+    private final CapacityTable capacities;
+    private final NodeMetrics metrics;
+    private final BalancingStrategy strategy;
     private final OutlierEjection ejection;
     private final RetryBudget budget;
     private final RetryStrategy retries;
+    private final HedgeBudget hedgeBudget;
     private final HedgeStrategy hedges;
+    private final ReturnSchedule returns = ReturnSchedule.create();
     private final Map<NodeId, LoadReport> unavailableReports = new HashMap<>();
+    private final Map<NodeId, RouteTarget> targetByNode = new HashMap<>();
     private RoutingTable table = RoutingTable.empty();
     private List<RouteTarget> targets = List.of();
     private CandidateGroups candidates = CandidateGroups.of(List.of(), "");
     private long candidatesBuiltNanos;
     private long reportsRequestedNanos;
+    private long capacityReportedNanos;
 
     ServiceState(
             String service,
             String dataCentre,
             PolicyDefinition policy,
             AttemptSender sender,
+            CapacityTable capacities,
+            NodeMetrics metrics,
             RandomGenerator random) {
         this.service = service;
         this.dataCentre = dataCentre;
         this.policy = policy;
         this.sender = sender;
+        this.capacities = capacities;
+        this.metrics = metrics;
+        this.strategy =
+                ExpectedCompletionStrategy.create(
+                        (name, nowNanos) -> capacities.find(service, name, nowNanos));
         this.random = random;
         this.ejection = OutlierEjection.create(policy.ejectionShare());
         this.budget = RetryBudget.of(policy.retryShare());
         this.retries = DefaultRetryStrategy.create(budget);
-        this.hedges = QuantileHedgeStrategy.create(policy.hedgeQuantile(), budget);
+        this.hedgeBudget = HedgeBudget.of(policy.hedgeShare(), budget);
+        this.hedges = QuantileHedgeStrategy.create(policy.hedgeQuantile(), hedgeBudget);
     }
 
     String service() {
         return service;
     }
 
-    PolicyDefinition policy() {
-        return policy;
+    /**
+     * Applies a new version of the policy if nothing but its share of hedges has changed, so that
+     * the known load is kept.
+     *
+     * @return whether this state is now one of the given policy
+     */
+    boolean tryUpdate(PolicyDefinition newPolicy) {
+        if (newPolicy.equals(policy)) {
+            return true;
+        }
+        if (!newPolicy.equals(policy.withHedgeShare(newPolicy.hedgeShare()))) {
+            return false;
+        }
+        policy = newPolicy;
+        hedgeBudget.setShare(newPolicy.hedgeShare());
+        return true;
     }
 
     RetryStrategy retries() {
@@ -100,6 +140,12 @@
         }
         if (!isSameInstance(current, table)) {
             budget.setNodes(current.nodes());
+            hedgeBudget.setNodes(current.nodes());
+            strategy.setSenders(current.nodes());
+            targetByNode.clear();
+            current.targetsOf(service).stream()
+                    .filter(RouteTarget::acceptsWork)
+                    .forEach(target -> targetByNode.put(target.node(), target));
         }
         table = current;
         candidatesBuiltNanos = nowNanos;
@@ -120,6 +166,25 @@
         }
         candidates = CandidateGroups.of(next, dataCentre);
         requestReportsFromUnavailableTargets(nowNanos);
+        reportFreeCapacity(nowNanos);
+    }
+
+    private void reportFreeCapacity(long nowNanos) {
+        if (nowNanos - capacityReportedNanos < CAPACITY_INTERVAL_NANOS) {
+            return;
+        }
+        capacityReportedNanos = nowNanos;
+        OptionalInt free = strategy.freeSlots(candidates, nowNanos);
+        if (free.isPresent()) {
+            long serviceMicros = strategy.serviceNanos() / NANOS_PER_MICRO;
+            capacities.add(
+                    new FreeCapacity(dataCentre, service, free.getAsInt(), serviceMicros, 0),
+                    nowNanos);
+        }
+        for (String name : candidates.dataCentres()) {
+            Optional<FreeCapacity> known = capacities.find(service, name, nowNanos);
+            metrics.onFreeSlots(service, name, known.map(FreeCapacity::freeSlots).orElse(-1));
+        }
     }
 
     private long dataCentreCostNanos(RouteTarget target) {
@@ -145,13 +210,13 @@
         return !all.isEmpty() && all.stream().allMatch(RouteTarget::dataCentreOut);
     }
 
-    Optional<RouteTarget> choose(Set<NodeId> excluded, TimeLeft timeLeft, long nowNanos) {
-        return strategy.choose(candidates, excluded, timeLeft, nowNanos, random)
+    Optional<RouteTarget> choose(Set<NodeId> excluded, CallNeeds callNeeds, long nowNanos) {
+        return strategy.choose(candidates, excluded, callNeeds, nowNanos, random)
                 .flatMap(this::findTarget);
     }
 
     Optional<RouteTarget> findTarget(NodeId node) {
-        return targets.stream().filter(target -> target.node().equals(node)).findFirst();
+        return Optional.ofNullable(targetByNode.get(node));
     }
 
     long expectedWaitNanos(NodeId node, long nowNanos) {
@@ -162,8 +227,50 @@
         return strategy.serviceNanos();
     }
 
-    boolean isSlow(NodeId node, long nowNanos) {
-        return strategy.isSlow(node, nowNanos);
+    double slowdown(NodeId node, long nowNanos) {
+        return strategy.slowdown(node, nowNanos);
+    }
+
+    /**
+     * Decides whether a call gets a second attempt at another target.
+     *
+     * @param other the second target
+     * @param needs the time that the call has left
+     * @param elapsedNanos the time since the first attempt was sent, in nanoseconds
+     * @param firstSlowdown the highest known slowdown of the first target since then
+     * @param firstWaitNanos the wait that was expected there, in nanoseconds
+     */
+    HedgeDecision decideHedge(
+            NodeId other,
+            CallNeeds needs,
+            long elapsedNanos,
+            double firstSlowdown,
+            long firstWaitNanos,
+            long nowNanos) {
+        boolean hasObjective = needs.objectiveNanos() > 0;
+        return HedgeDecision.of(
+                new HedgeView(
+                        elapsedNanos,
+                        hasObjective ? needs.objectiveNanos() : needs.deadlineNanos(),
+                        hasObjective,
+                        strategy.serviceNanos(),
+                        firstSlowdown,
+                        firstWaitNanos,
+                        strategy.slowdown(other, nowNanos),
+                        strategy.expectedWaitNanos(other, nowNanos)));
+    }
+
+    /**
+     * Returns the time after which a refused caller should return, in nanoseconds: when the queue
+     * of a sampled target has drained, at this node's part of the pace of all targets.
+     */
+    long retryAfterNanos(CallNeeds needs, long nowNanos) {
+        Optional<NodeId> node = strategy.choose(candidates, Set.of(), needs, nowNanos, random);
+        long drainNanos = node.map(best -> expectedWaitNanos(best, nowNanos)).orElse(0L);
+        long slots = (long) candidates.size() * node.map(strategy::limit).orElse(1);
+        long spacingNanos = strategy.serviceNanos() * table.nodes() / Math.max(1, slots);
+        return returns.nextDelayNanos(
+                drainNanos, spacingNanos, needs.deadlineNanos(), nowNanos, random);
     }
 
     /**
@@ -174,6 +281,8 @@
     }
 
     void onSent(NodeId node, long nowNanos) {
+        RouteTarget target = targetByNode.get(node);
+        metrics.onPlaced(service, target != null && target.dataCentre().equals(dataCentre));
         strategy.onSent(node, nowNanos);
     }
 
@@ -184,6 +293,11 @@
         }
     }
 
+    /** Records that a call was sent to a target for the first time. */
+    void onFirstSent() {
+        hedgeBudget.onCall();
+    }
+
     void onSuccess(long latencyNanos) {
         budget.onSuccess();
         hedges.onAnswered(latencyNanos);
--- a/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.regex.Pattern;
 import org.dogwoodwood.core.ErrorCode;
@@ -30,9 +31,13 @@
     private final Map<CallLabels, Histogram> latencies = new HashMap<>();
     private final Map<AnswerLabels, Counter> answers = new HashMap<>();
     private final Map<CallLabels, TargetTimes> targetTimes = new HashMap<>();
+    private final Map<String, PlacedCounters> placed = new HashMap<>();
+    private final Map<String, AtomicLong> freeSlotsByName = new HashMap<>();
     private final Counter attempts = counter("dogwoodwood_attempts_total");
     private final Counter retries = counter("dogwoodwood_retries_total");
     private final Counter hedges = counter("dogwoodwood_hedges_total");
+    private final Counter hedgesWon = counter("dogwoodwood_hedges_won_total");
+    private final Counter hedgesWasted = counter("dogwoodwood_hedges_wasted_total");
     private final Counter cancelled = counter("dogwoodwood_cancelled_calls_total");
     private final Counter lateAnswers = counter("dogwoodwood_late_answers_total");
     private final Counter targetCalls = counter("dogwoodwood_target_calls_total");
@@ -65,6 +70,34 @@
         attempts.inc();
     }
 
+    /** Counts an attempt by whether its target is in the data centre of this node. */
+    public void onPlaced(String service, boolean local) {
+        boolean known = placed.containsKey(service) || placed.size() < MAX_LABEL_PAIRS;
+        placed.computeIfAbsent(known ? service : "other", this::newPlacedCounters).of(local).inc();
+    }
+
+    /** Sets the known number of free slots of a service in a data centre; -1 if it is unknown. */
+    public void onFreeSlots(String service, String dataCentre, long freeSlots) {
+        String name =
+                Series.of(
+                                "dogwoodwood_known_free_slots",
+                                "service",
+                                service,
+                                "data_centre",
+                                dataCentre)
+                        .registryName();
+        AtomicLong value = freeSlotsByName.get(name);
+        if (value == null && freeSlotsByName.size() < MAX_LABEL_PAIRS) {
+            AtomicLong added = new AtomicLong();
+            freeSlotsByName.put(name, added);
+            addGauge(name, added::get);
+            value = added;
+        }
+        if (value != null) {
+            value.set(freeSlots);
+        }
+    }
+
     /** Counts an attempt after the first one that is not a hedge. */
     public void onRetry() {
         retries.inc();
@@ -75,6 +108,12 @@
         hedges.inc();
     }
 
+    /** Counts the hedges of a call that has ended, by whether one of them gave the answer. */
+    public void onHedgesEnded(int won, int wasted) {
+        hedgesWon.inc(won);
+        hedgesWasted.inc(wasted);
+    }
+
     /** Counts a call whose caller disconnected before the answer. */
     public void onCancelled() {
         cancelled.inc();
@@ -197,6 +236,13 @@
         return registry.histogram(key, () -> new Histogram(new HdrReservoir()));
     }
 
+    private PlacedCounters newPlacedCounters(String service) {
+        String name = "dogwoodwood_placed_attempts_total";
+        return new PlacedCounters(
+                counter(name, "service", service, "data_centre", "local"),
+                counter(name, "service", service, "data_centre", "other"));
+    }
+
     private Counter newAnswerCounter(AnswerLabels labels) {
         return counter(
                 "dogwoodwood_answers_total",
@@ -226,5 +272,13 @@
         }
     }
 
+    /** Counters of the attempts in the data centre of this node and in others. */
+    private record PlacedCounters(Counter local, Counter other) {
+
+        Counter of(boolean isLocal) {
+            return isLocal ? local : other;
+        }
+    }
+
     private record AnswerLabels(CallLabels call, int statusClass) {}
 }
