--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -13,6 +13,7 @@
 import org.dogwoodwood.codec.log.LogStreams;
 import org.dogwoodwood.codec.wire.ControlFrame;
 import org.dogwoodwood.core.DogwoodwoodException;
+import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.DataCentreOrder;
@@ -82,6 +83,7 @@
             ControlComponents components,
             RandomGenerator random,
             CrashEvidence crashEvidence,
+            CapacityTable capacities,
             Consumer<RoutingTable> publisher,
             EventLog events) {
         this.vertx = vertx;
@@ -100,8 +102,7 @@
                         this::onMemberChanged,
                         System.nanoTime());
         this.strategy = GossipStrategy.create(table, orders, random);
-        this.exchanger =
-                new GossipExchanger(vertx, transport, settings, table, strategy, random, this);
+        this.exchanger = createExchanger(transport, capacities, random);
         this.appender = new LogAppender(vertx, log, timings, random, table::size, events);
         this.configurationManager =
                 new ConfigurationManager(
@@ -157,6 +158,12 @@
                 MemberTarget.none());
     }
 
+    private GossipExchanger createExchanger(
+            PeerTransport transport, CapacityTable capacities, RandomGenerator random) {
+        return new GossipExchanger(
+                vertx, transport, settings, table, strategy, capacities, random, this);
+    }
+
     private ConfigurationSource createPublicationReader(RandomGenerator random) {
         return new LogReader(
                 vertx,
