--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -140,7 +140,6 @@
         this.membershipReader =
                 new LogReader(
                         vertx, log, LogStreams.MEMBERSHIP, timings, random, membership, events);
-        log.onRestored(membership::onLogRestored);
         this.startCheck = new StartCheck(table, exchanger::requestExtraRound);
         this.routingTableBuilder = new RoutingTableBuilder(table, orders, components.keyedCalls());
     }
@@ -169,6 +168,7 @@
     }
 
     void start() {
+        log.onRestored(membership::onLogRestored);
         configurationReader.start();
         membershipReader.start();
         exchanger.start();
