--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
@@ -48,8 +48,20 @@
      *     ErrorCode#FRAME_TOO_LARGE} if the bytes are not exactly one frame
      */
     public static Frame decode(byte[] payload) {
+        return decode(payload, KnownTexts.none());
+    }
+
+    /**
+     * Decodes a frame of a sender that names texts by number.
+     *
+     * @param payload the encoded frame without its length prefix, not null
+     * @param texts the texts that the sender has told, not null
+     * @throws DogwoodwoodException with {@link ErrorCode#FRAME_MALFORMED} or {@link
+     *     ErrorCode#FRAME_TOO_LARGE} if the bytes are not exactly one frame
+     */
+    public static Frame decode(byte[] payload, KnownTexts texts) {
         checkLength(payload.length);
-        try (BoundedReader reader = BoundedReader.of(payload)) {
+        try (BoundedReader reader = BoundedReader.of(payload, texts)) {
             int elements = reader.readArrayHeader();
             int type = reader.readInt();
             Frame frame = decode(reader, type, elements);
@@ -65,12 +77,13 @@
      * Decodes the attempt of a call or an answer from the beginning of its frame.
      *
      * @param start the first bytes of the encoded frame without its length prefix, not null
+     * @param texts the texts that the sender has told, not null
      * @return the attempt, or empty if the frame is of another type
      * @throws DogwoodwoodException with {@link ErrorCode#FRAME_MALFORMED} if the bytes do not begin
      *     a frame
      */
-    public static Optional<AttemptId> decodeAttempt(byte[] start) {
-        try (BoundedReader reader = BoundedReader.of(start)) {
+    public static Optional<AttemptId> decodeAttempt(byte[] start, KnownTexts texts) {
+        try (BoundedReader reader = BoundedReader.of(start, texts)) {
             reader.readArrayHeader();
             int type = reader.readInt();
             boolean hasAttempt = type == CallFrame.TYPE || type == AnswerFrame.TYPE;
@@ -104,8 +117,9 @@
                 yield PongFrame.of(reader.readLong(), reader.readReport());
             }
             case CallFrame.TYPE -> {
-                checkElements(type, elements, 17);
-                yield readCall(reader);
+                boolean hasAccount = elements == 18;
+                checkElements(type, elements, hasAccount ? 18 : 17);
+                yield readCall(reader, hasAccount);
             }
             case AnswerFrame.TYPE -> {
                 checkElements(type, elements, 9);
@@ -119,6 +133,10 @@
                 checkElements(type, elements, 4);
                 yield ResumeFrame.of(reader.readAttempt(), reader.readLong());
             }
+            case TextsFrame.TYPE -> {
+                checkElements(type, elements, 2);
+                yield new TextsFrame(reader.readTexts());
+            }
             default -> {
                 checkElements(type, elements, 3);
                 long requestNumber = reader.readLong();
@@ -127,7 +145,7 @@
         };
     }
 
-    private static CallFrame readCall(BoundedReader reader) throws IOException {
+    private static CallFrame readCall(BoundedReader reader, boolean hasAccount) throws IOException {
         return new CallFrame(
                 reader.readAttempt(),
                 reader.readLong(),
@@ -144,7 +162,8 @@
                 reader.readOptionalText(),
                 reader.readInt(),
                 reader.readLong(),
-                reader.readBoolean());
+                reader.readBoolean(),
+                hasAccount ? Optional.of(reader.readText()) : Optional.empty());
     }
 
     private static AnswerFrame readAnswer(BoundedReader reader) throws IOException {
@@ -154,7 +173,7 @@
         TargetAnswer answer = TargetAnswer.of(status, reader.readHeaders(), reader.readBytes());
         int errorNumber = reader.readInt();
         boolean answered = outcome == Outcome.ANSWERED;
-        if (answered && (status < 200 || status > 999)) {
+        if (answered && !TargetAnswer.isFinalStatus(status)) {
             throw new IllegalArgumentException("An answer has the HTTP status " + status + ".");
         }
         // Later releases may define more errors; the frame contains their outcome as well.
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -206,7 +206,8 @@
                         request.key(),
                         request.depth(),
                         fingerprint,
-                        mayQueue);
+                        mayQueue,
+                        request.account());
         OpenAttempt sent =
                 new OpenAttempt(
                         frame.id(),
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -52,6 +52,9 @@
             404,
             Severity.ERROR,
             "A request was dispatched out of order, and its connection is closed."),
+    KEY_REFUSED(405, Severity.WARNING, "A request has no key of an account and is refused."),
+    CALLER_DISPLACED(
+            407, Severity.WARNING, "A waiting connection of a caller is closed to make room."),
 
     CALL_REFUSED(451, Severity.INFO, "The node refused a call, which was not run."),
     CALL_RETRIED(452, Severity.INFO, "A call goes to another target."),
@@ -81,7 +84,8 @@
     APPEND_FAILED(610, Severity.WARNING, "An append failed and will be repeated."),
     LOG_STATE_ASSUMED(611, Severity.WARNING, "The version is taken from the first record."),
     CONFIGURATION_DIFFERS(612, Severity.ERROR, "A peer has another document of a version."),
-    LOG_REACHABLE(613, Severity.INFO, "The platform log can be read again.");
+    LOG_REACHABLE(613, Severity.INFO, "The platform log can be read again."),
+    LOG_RESTORED(614, Severity.WARNING, "The platform log came back from an older copy.");
 
     private static final int LINES_PER_SECOND = 10;
 
