--- /dev/null
+++ b/core/src/main/java/org/dogwoodwood/core/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Quotas of client accounts over all nodes. */
+package org.dogwoodwood.core.quota;
