Quotas: asks and loans between nodes, and status 429

Cause: nodes must decide together on the calls of a limited account.

Change: frames QUOTA_REQUEST and QUOTA_REPLY, batched per peer and turn of the loop and answered on the traffic loop; QuotaService with start and stop; QUOTA_EXCEEDED (2019, 429) with the limit and Retry-After; calls wait for the decision before Ingress.startCall, also pipelined ones; metrics and the events 408 and 409; members that disappeared without leaving keep their share for 15 min.

--- a/codec/src/main/java/org/dogwoodwood/codec/gossip/ControlFrameTypes.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/gossip/ControlFrameTypes.java
@@ -11,6 +11,8 @@
     public static final int KEY_HANDOVER_REPLY = 13;
     public static final int INDIRECT_PING = 14;
     public static final int INDIRECT_PONG = 15;
+    public static final int QUOTA_REQUEST = 16;
+    public static final int QUOTA_REPLY = 17;
 
     private ControlFrameTypes() {}
 }
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/ControlFrame.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/ControlFrame.java
@@ -4,11 +4,11 @@
 
 import java.util.Objects;
 
-/** A frame of type 8 to 15, whose payload is decoded only on the control thread. */
+/** A frame of type 8 to 17, whose payload is decoded only on the control thread. */
 public final class ControlFrame implements Frame {
 
     static final int FIRST_TYPE = 8;
-    static final int LAST_TYPE = 15;
+    static final int LAST_TYPE = 17;
 
     private final int type;
     private final long requestNumber;
@@ -17,7 +17,7 @@
     private ControlFrame(int type, long requestNumber, byte[] payload) {
         checkArgument(
                 type >= FIRST_TYPE && type <= LAST_TYPE,
-                "A control frame must have a type from 8 to 15.");
+                "A control frame must have a type from 8 to 17.");
         this.type = type;
         this.requestNumber = requestNumber;
         this.payload = Objects.requireNonNull(payload, "payload");
@@ -26,7 +26,7 @@
     /**
      * Returns a control frame with request number 0; the transport assigns the number on sending.
      *
-     * @param type the frame type, from 8 to 15
+     * @param type the frame type, from 8 to 17
      * @param payload the MessagePack payload, not null; not copied
      */
     public static ControlFrame of(int type, byte[] payload) {
--- a/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
+++ b/core/src/main/java/org/dogwoodwood/core/ErrorCode.java
@@ -36,6 +36,7 @@
     TARGET_REFUSED(2016, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
     NO_CONFIGURATION(2017, 503, Outcome.NOT_RUN, "Send the request again after Retry-After."),
     NODE_STOPPING(2018, 503, Outcome.NOT_RUN, "Send the request to another node."),
+    QUOTA_EXCEEDED(2019, 429, Outcome.NOT_RUN, "Send the request again after Retry-After."),
 
     OUTCOME_UNKNOWN(3001, 502, Outcome.UNKNOWN, "Find out whether the request took effect."),
     DEADLINE_EXCEEDED(3002, 504, Outcome.UNKNOWN, "Find out whether the request took effect."),
--- a/core/src/main/java/org/dogwoodwood/core/quota/QuotaLimit.java
+++ b/core/src/main/java/org/dogwoodwood/core/quota/QuotaLimit.java
@@ -3,6 +3,7 @@
 import static org.dogwoodwood.core.Preconditions.checkArgument;
 
 import java.util.Objects;
+import org.dogwoodwood.core.configuration.AccountDefinition;
 
 /**
  * The limit of an account over all nodes together.
@@ -36,6 +37,11 @@
         checkArgument(burst >= 0, "The burst must not be negative.");
     }
 
+    /** Returns the limit of a configured account. */
+    public static QuotaLimit of(AccountDefinition account) {
+        return new QuotaLimit(account.name(), account.callsPerSecond(), account.burst());
+    }
+
     /** Returns whether the calls of the account are limited. */
     public boolean isLimited() {
         return callsPerSecond > 0;
--- a/core/src/main/java/org/dogwoodwood/core/quota/QuotaView.java
+++ b/core/src/main/java/org/dogwoodwood/core/quota/QuotaView.java
@@ -1,7 +1,5 @@
 package org.dogwoodwood.core.quota;
 
-import static org.dogwoodwood.core.Preconditions.checkArgument;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,7 +18,7 @@
  * @param self this node
  * @param dataCentre the data centre of this node
  * @param limits the limits by account
- * @param dataCentres the known data centres and their members, with that of this node
+ * @param dataCentres the known data centres and their members
  */
 public record QuotaView(
         NodeId self,
@@ -31,34 +29,41 @@
     /**
      * The members of a data centre.
      *
-     * @param reachable the members that can be reached
-     * @param known all members, also those that can't be reached and haven't left
+     * @param eligible the members that can be reached and may be coordinators
+     * @param reachable the number of members that can be reached
+     * @param known the number of all members, also of those that can't be reached and haven't left
      */
-    public record Members(Set<NodeId> reachable, Set<NodeId> known) {
+    public record Members(Set<NodeId> eligible, int reachable, int known) {
 
-        /** Copies the sets. */
+        /** Copies the set. */
         public Members {
-            reachable = Set.copyOf(reachable);
-            known = Set.copyOf(known);
+            eligible = Set.copyOf(eligible);
         }
 
         /** Returns the share of the known members that can be reached. */
         double part() {
-            return known.isEmpty() ? 0 : Math.min(1.0, (double) reachable.size() / known.size());
+            return known == 0 ? 0 : Math.min(1.0, (double) reachable / known);
         }
     }
 
     /** Copies the maps. */
     public QuotaView {
         limits = Map.copyOf(limits);
-        checkArgument(
-                dataCentres.containsKey(dataCentre), "The view must contain the own data centre.");
         dataCentres = new TreeMap<>(dataCentres);
     }
 
-    /** Returns the limit of an account, or empty if its calls are not limited. */
+    /** Returns a view without limits and members. */
+    public static QuotaView empty(NodeId self, String dataCentre) {
+        return new QuotaView(self, dataCentre, Map.of(), Map.of());
+    }
+
+    /**
+     * Returns the limit of an account, or empty if its calls are not limited. Without any member
+     * there is no target either, so that calls end without having run.
+     */
     public Optional<QuotaLimit> limitOf(String account) {
-        return Optional.ofNullable(limits.get(account)).filter(QuotaLimit::isLimited);
+        return Optional.ofNullable(limits.get(account))
+                .filter(limit -> limit.isLimited() && !dataCentres.isEmpty());
     }
 
     /** Returns the number of slots of a limited account. */
@@ -71,7 +76,7 @@
      * with the same home have different coordinators, as far as there are members.
      */
     public Optional<NodeId> coordinatorOf(SlotId id) {
-        Set<NodeId> candidates = new HashSet<>(dataCentres.get(homeOf(id)).reachable());
+        Set<NodeId> candidates = new HashSet<>(dataCentres.get(homeOf(id)).eligible());
         int step = dataCentres.size();
         Optional<NodeId> coordinator = Optional.empty();
         for (int slot = id.slot() % step; slot <= id.slot(); slot += step) {
@@ -85,7 +90,7 @@
     }
 
     /** Returns the order in which this node asks the slots: those of its data centre first. */
-    List<Integer> slotOrder(String account) {
+    public List<Integer> slotOrder(String account) {
         int slots = slots(account);
         int start = Math.floorMod(self.hashCode(), slots);
         List<Integer> order = new ArrayList<>();
@@ -103,6 +108,9 @@
     /** Returns the slots that this node coordinates. */
     Map<SlotId, QuotaLimit> ownSlots() {
         Map<SlotId, QuotaLimit> own = new HashMap<>();
+        if (!dataCentres.containsKey(dataCentre)) {
+            return own;
+        }
         for (QuotaLimit limit : limits.values()) {
             int slots = limit.isLimited() ? slots(limit.account()) : 0;
             for (int slot = 0; slot < slots; slot++) {
@@ -117,7 +125,7 @@
 
     /** Returns the share of the slots at home in this data centre that its members may grant. */
     double ownPart() {
-        return dataCentres.get(dataCentre).part();
+        return dataCentres.containsKey(dataCentre) ? dataCentres.get(dataCentre).part() : 0;
     }
 
     private boolean isAtHome(SlotId id) {
--- a/core/src/test/java/org/dogwoodwood/core/quota/QuotaNetwork.java
+++ b/core/src/test/java/org/dogwoodwood/core/quota/QuotaNetwork.java
@@ -316,7 +316,7 @@
                         known.add(other.id);
                     }
                 }
-                members.put("dc" + i, new Members(reachable, known));
+                members.put("dc" + i, new Members(reachable, reachable.size(), known.size()));
             }
             Map<String, QuotaLimit> limits = new HashMap<>();
             limits.put(ACCOUNT, limit);
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -31,6 +31,7 @@
 import org.dogwoodwood.node.peer.PeerServer;
 import org.dogwoodwood.node.peer.PeerTimings;
 import org.dogwoodwood.node.peer.RoutedAttemptSender;
+import org.dogwoodwood.node.quota.QuotaService;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.settings.NodeSettings;
 
@@ -63,6 +64,7 @@
     private ControlPlane control;
     private Optional<KeyService> keyService = Optional.empty();
     private Guard guard;
+    private QuotaService quotaService;
     private IngressServer ingressServer;
     private int callerPort;
     private int callerHttp2Port;
@@ -256,18 +258,7 @@
         guard.start();
         keyService.ifPresent(KeyService::start);
         peerServer.setCallHandler(guard);
-        settings.target()
-                .ifPresent(
-                        target ->
-                                guard.onAnnouncement(
-                                        new TargetAnnouncement(
-                                                target.service(),
-                                                target.address(),
-                                                target.slots(),
-                                                target.connections(),
-                                                target.coldSlots(),
-                                                true,
-                                                false)));
+        settings.target().map(TargetAnnouncement::of).ifPresent(guard::onAnnouncement);
         Ingress ingress =
                 Ingress.create(
                         vertx,
@@ -278,6 +269,18 @@
                         metrics,
                         new SplittableRandom(identity.incarnation() ^ identity.node().hashCode()),
                         log);
+        quotaService =
+                QuotaService.create(
+                        vertx,
+                        loop.context(),
+                        identity.node(),
+                        settings.dataCentre(),
+                        control,
+                        DefaultPeerTransport.create(pool, peerServer),
+                        metrics,
+                        log);
+        quotaService.start(peerServer);
+        ingress.setQuota(quotaService);
         pool.setReportListener(ingress::onReport);
         guard.setReportListener(
                 report -> {
@@ -430,6 +433,7 @@
                         ignored ->
                                 loop.run(
                                         () -> {
+                                            quotaService.stop();
                                             pool.stop();
                                             return Future.<Void>succeededFuture();
                                         }))
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.dogwoodwood.node.settings.Endpoint;
+import org.dogwoodwood.node.settings.TargetSettings;
 
 /**
  * What a target announces about itself, or what the settings announce in its place.
@@ -67,6 +68,18 @@
                 Optional.empty());
     }
 
+    /** Returns the announcement of a target that is configured in the settings, as cold. */
+    public static TargetAnnouncement of(TargetSettings target) {
+        return new TargetAnnouncement(
+                target.service(),
+                target.address(),
+                target.slots(),
+                target.connections(),
+                target.coldSlots(),
+                true,
+                false);
+    }
+
     /** Returns whether another process than that of an earlier announcement announced this one. */
     boolean isOtherProcessThan(TargetAnnouncement earlier) {
         return earlier.isOtherProcess(instance) || differ(startedAtMillis, earlier.startedAtMillis);
--- a/node/src/main/java/org/dogwoodwood/node/ingress/CallerProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/CallerProtocol.java
@@ -35,4 +35,17 @@
      * @return a future that completes when the answer is written
      */
     Future<Void> writeError(HttpServerRequest request, ErrorCode code, String detail);
+
+    /**
+     * Writes an error answer of the node itself that tells the caller when to send the request
+     * again; has no effect if the caller has disconnected.
+     *
+     * @param request the request, not null
+     * @param code the reason why there is no answer of a target, not null
+     * @param detail what happened, without the remedy
+     * @param retryAfterSeconds the value of the {@code Retry-After} field
+     * @return a future that completes when the answer is written
+     */
+    Future<Void> writeError(
+            HttpServerRequest request, ErrorCode code, String detail, String retryAfterSeconds);
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/DefaultCallerProtocol.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/DefaultCallerProtocol.java
@@ -78,6 +78,12 @@
         return AnswerWriter.writeError(request, code, detail);
     }
 
+    @Override
+    public Future<Void> writeError(
+            HttpServerRequest request, ErrorCode code, String detail, String retryAfterSeconds) {
+        return AnswerWriter.writeError(request, code, detail, retryAfterSeconds);
+    }
+
     private CallParameters routedParameters(
             RequestHead request, Configuration configuration, ResolvedRoute resolved) {
         RouteDefinition route = resolved.route();
--- a/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
@@ -39,6 +39,7 @@
     private final RandomGenerator random;
     private final EventLog log;
     private final ReadFirstQueue startQueue;
+    private AccountQuota quota = AccountQuota.unlimited();
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<NodeId, String> serviceByNode = new HashMap<>();
     private RoutingTable indexedTable = RoutingTable.empty();
@@ -82,6 +83,11 @@
         sender = Objects.requireNonNull(attemptSender, "attemptSender");
     }
 
+    /** Sets the quota of accounts; must be called before the first call starts. */
+    public void setQuota(AccountQuota accountQuota) {
+        quota = Objects.requireNonNull(accountQuota, "accountQuota");
+    }
+
     /** Applies a load report that arrived without an answer to a call of its service. */
     public void onReport(LoadReport report) {
         RoutingTable table = routingTable();
@@ -116,6 +122,10 @@
         return sender;
     }
 
+    AccountQuota quota() {
+        return quota;
+    }
+
     /** Returns the queue that delays attempts until the callers' sockets have been read. */
     ReadFirstQueue startQueue() {
         return startQueue;
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressRequest.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressRequest.java
@@ -31,6 +31,11 @@
         return parameters.key();
     }
 
+    /** Returns the name of the caller's account, if any. */
+    Optional<String> account() {
+        return Optional.empty();
+    }
+
     int depth() {
         return parameters.depth();
     }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -281,7 +281,7 @@
         private final RequestPipeline pipeline;
         private final BodyReservation bodyReservation = memory.reservation();
         private long arrivedNanos = System.nanoTime();
-        private IngressCall call;
+        private SubmittedCall call;
         private boolean answered;
         private boolean closed;
 
@@ -306,7 +306,7 @@
                 onRefused(nodeStopping());
                 return;
             }
-            call = ingress.startCall(read, finished -> onFinished(read, finished));
+            call = SubmittedCall.submit(ingress, read, result -> onFinished(read, result));
         }
 
         void onRefused(Throwable failure) {
@@ -340,14 +340,20 @@
             }
         }
 
-        private void onFinished(IngressRequest read, FinishedCall finished) {
+        private void onFinished(IngressRequest read, SubmittedCall.Result result) {
             answered = true;
-            int status =
-                    finished.answer().isPresent()
-                            ? writeAnswer(finished.answer().get())
-                            : writeError(
-                                    finished.error().orElseThrow(),
-                                    "The call ended without an answer.");
+            FinishedCall finished = result.finished();
+            int status;
+            if (finished.answer().isPresent()) {
+                status = writeAnswer(finished.answer().get());
+            } else if (result.refusal().isPresent()) {
+                status = writeQuotaRefusal(result.refusal().get());
+            } else {
+                status =
+                        writeError(
+                                finished.error().orElseThrow(),
+                                "The call ended without an answer.");
+            }
             metrics.onAnswered(
                     read.service().name(),
                     read.callClass(),
@@ -378,6 +384,17 @@
             return code.httpStatus();
         }
 
+        private int writeQuotaRefusal(QuotaRefusal refusal) {
+            closeIfDraining();
+            metrics.onIngressError(ErrorCode.QUOTA_EXCEEDED);
+            protocol.writeError(
+                    request,
+                    ErrorCode.QUOTA_EXCEEDED,
+                    refusal.detail(),
+                    refusal.retryAfterSeconds());
+            return ErrorCode.QUOTA_EXCEEDED.httpStatus();
+        }
+
         private void closeIfDraining() {
             if (draining
                     && !pipeline.hasUndispatchedRequests()
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -52,6 +52,10 @@
             Severity.ERROR,
             "A request was dispatched out of order, and its connection is closed."),
 
+    ACCOUNT_LIMITED(
+            408, Severity.WARNING, "An account exceeds its quota, and its calls get status 429."),
+    ACCOUNT_NOT_LIMITED(409, Severity.INFO, "An account has been within its quota for 5 s."),
+
     CALL_REFUSED(451, Severity.INFO, "The node refused a call, which was not run."),
     CALL_RETRIED(452, Severity.INFO, "A call goes to another target."),
     CALL_HEDGED(453, Severity.INFO, "A call also goes to a second target."),
--- a/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
@@ -19,6 +19,7 @@
 
     // Bounds memory: callers and operators choose the names of services and call classes.
     private static final int MAX_LABEL_PAIRS = 512;
+    private static final int MAX_ACCOUNTS = 200;
     private static final long NANOS_PER_MICRO = 1_000;
 
     private final MetricRegistry registry = new MetricRegistry();
@@ -31,6 +32,9 @@
     private final Counter cancelled = counter("dogwoodwood_cancelled_calls_total");
     private final Counter lateAnswers = counter("dogwoodwood_late_answers_total");
     private final Counter targetCalls = counter("dogwoodwood_target_calls_total");
+    private final Counter quotaAsks = counter("dogwoodwood_quota_messages_total", "kind", "ask");
+    private final Counter quotaLoans = counter("dogwoodwood_quota_messages_total", "kind", "loan");
+    private final Map<String, Counter> quotaRefusals = new HashMap<>();
     private final Counter foreignAnswers = counter("dogwoodwood_foreign_answers_total");
 
     private NodeMetrics() {}
@@ -120,6 +124,21 @@
         counter("dogwoodwood_errors_total", "kind", code.name()).inc();
     }
 
+    /** Counts a call that was refused because its account exceeds its quota. */
+    public void onQuotaRefusal(String account) {
+        boolean known = quotaRefusals.containsKey(account) || quotaRefusals.size() < MAX_ACCOUNTS;
+        quotaRefusals
+                .computeIfAbsent(
+                        known ? account : "other",
+                        label -> counter("dogwoodwood_quota_refused_total", "account", label))
+                .inc();
+    }
+
+    /** Counts a message with asks of this ingress or loan requests of its coordinators. */
+    public void onQuotaMessage(boolean loan) {
+        (loan ? quotaLoans : quotaAsks).inc();
+    }
+
     /** Adds a gauge, whose value is read each time the metrics are written. */
     public void addGauge(String name, LongSupplier value) {
         Gauge<Long> gauge = value::getAsLong;
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerServer.java
@@ -6,7 +6,9 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
@@ -28,6 +30,8 @@
     private final Set<PeerServerConnection> connections = new HashSet<>();
     private volatile Function<ControlFrame, Future<ControlFrame>> controlHandler =
             frame -> Future.failedFuture("This node has no control plane.");
+    private final Map<Integer, Function<ControlFrame, Future<ControlFrame>>> trafficHandlers =
+            new HashMap<>();
     private Context context;
     private NetServer server;
 
@@ -90,6 +94,17 @@
         controlHandler = Objects.requireNonNull(handler, "handler");
     }
 
+    /**
+     * Sets the handler of a type of control frames that the traffic loop answers itself; must be
+     * called on the traffic loop.
+     *
+     * @param type the type of the request frame
+     * @param handler returns the reply; called on the traffic loop
+     */
+    public void setTrafficHandler(int type, Function<ControlFrame, Future<ControlFrame>> handler) {
+        trafficHandlers.put(type, handler);
+    }
+
     PeerIdentity identity() {
         return identity;
     }
@@ -111,7 +126,8 @@
     }
 
     void answerControl(ControlFrame request, PeerServerConnection connection) {
-        controlHandler
+        trafficHandlers
+                .getOrDefault(request.type(), controlHandler)
                 .apply(request)
                 .onSuccess(
                         reply ->
