--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameDecoder.java
@@ -84,12 +84,16 @@
     private static Frame decode(BoundedReader reader, int type, int elements) throws IOException {
         return switch (type) {
             case HelloFrame.TYPE -> {
-                checkElements(type, elements, 5);
+                // Releases with protocol version 2 and earlier send no data centre, and are
+                // refused by their version rather than as malformed.
+                boolean placed = elements != 5;
+                checkElements(type, elements, placed ? 6 : 5);
                 yield new HelloFrame(
                         reader.readInt(),
                         reader.readNodeId(),
                         reader.readLong(),
-                        reader.readOptionalText());
+                        reader.readOptionalText(),
+                        placed ? reader.readOptionalText() : Optional.empty());
             }
             case PingFrame.TYPE -> {
                 checkElements(type, elements, 2);
@@ -100,8 +104,9 @@
                 yield PongFrame.of(reader.readLong(), reader.readReport());
             }
             case CallFrame.TYPE -> {
-                checkElements(type, elements, 17);
-                yield readCall(reader);
+                boolean hasAccount = elements == 18;
+                checkElements(type, elements, hasAccount ? 18 : 17);
+                yield readCall(reader, hasAccount);
             }
             case AnswerFrame.TYPE -> {
                 checkElements(type, elements, 9);
@@ -123,7 +128,7 @@
         };
     }
 
-    private static CallFrame readCall(BoundedReader reader) throws IOException {
+    private static CallFrame readCall(BoundedReader reader, boolean hasAccount) throws IOException {
         return new CallFrame(
                 reader.readAttempt(),
                 reader.readLong(),
@@ -140,7 +145,8 @@
                 reader.readOptionalText(),
                 reader.readInt(),
                 reader.readLong(),
-                reader.readBoolean());
+                reader.readBoolean(),
+                hasAccount ? Optional.of(reader.readText()) : Optional.empty());
     }
 
     private static AnswerFrame readAnswer(BoundedReader reader) throws IOException {
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -30,6 +30,7 @@
 import org.dogwoodwood.node.peer.PeerPool;
 import org.dogwoodwood.node.peer.PeerServer;
 import org.dogwoodwood.node.peer.PeerTimings;
+import org.dogwoodwood.node.peer.PeerTransport;
 import org.dogwoodwood.node.peer.RoutedAttemptSender;
 import org.dogwoodwood.node.quota.QuotaService;
 import org.dogwoodwood.node.settings.Endpoint;
@@ -55,7 +56,7 @@
     private final PeerIdentity identity;
     private final NodeComponents parts;
     private final EventLog log;
-    private final NodeMetrics metrics = NodeMetrics.create();
+    private final NodeMetrics metrics;
     private final AdminRouter adminRouter = AdminRouter.create();
     private final AdminServer adminServer;
     private TrafficLoop loop;
@@ -81,8 +82,9 @@
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.settings = Objects.requireNonNull(settings, "settings");
         this.parts = Objects.requireNonNull(parts, "parts");
+        this.metrics = parts.metrics();
         this.log = Objects.requireNonNull(log, "log");
-        this.identity = new PeerIdentity(settings.nodeId(), incarnation, settings.sharedSecret());
+        this.identity = PeerIdentity.of(settings, incarnation);
         this.adminServer = AdminServer.create(vertx, adminRouter, settings.sharedSecret(), log);
     }
 
@@ -133,6 +135,7 @@
     public Future<Void> stop() {
         leaving = true;
         log.write(LogEvent.NODE_LEAVING, "node", identity.node());
+        log.write(LogEvent.TRAFFIC_TOTALS, metrics.totalFields());
         int leaveMillis = settings.budgets().leaveMillis();
         long limitMillis = leaveMillis + settings.budgets().stopSeconds() * 1_000L;
         long untilNanos = System.nanoTime() + limitMillis * 1_000_000L;
@@ -208,6 +211,8 @@
         pool = PeerPool.create(vertx, loop.context(), identity, PeerTimings.DEFAULT, memory, log);
         pool.setLateAnswerListener(metrics::onLateAnswer);
         peerServer = PeerServer.create(vertx, identity, PeerTimings.DEFAULT, memory, log);
+        peerServer.setSentFrames(pool.sentFrames());
+        pool.sentFrames().publish(metrics);
         return listen(peerServer.start(settings.peerAddress()), "peer", settings.peerAddress())
                 .map(
                         port -> {
@@ -269,16 +274,10 @@
                         metrics,
                         new SplittableRandom(identity.incarnation() ^ identity.node().hashCode()),
                         log);
+        PeerTransport transport = DefaultPeerTransport.create(pool, peerServer);
         quotaService =
                 QuotaService.create(
-                        vertx,
-                        loop.context(),
-                        identity.node(),
-                        settings.dataCentre(),
-                        control,
-                        DefaultPeerTransport.create(pool, peerServer),
-                        metrics,
-                        log);
+                        vertx, loop.context(), settings, control, transport, metrics, log);
         quotaService.start(peerServer);
         ingress.setQuota(quotaService);
         pool.setReportListener(ingress::onReport);
--- a/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/dogwoodwood/node/metrics/NodeMetrics.java
@@ -8,7 +8,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.function.LongSupplier;
+import java.util.regex.Pattern;
 import org.dogwoodwood.core.ErrorCode;
 
 /**
@@ -19,13 +21,19 @@
 
     // Bounds memory: callers and operators choose the names of services and call classes.
     private static final int MAX_LABEL_PAIRS = 512;
-    private static final int MAX_ACCOUNTS = 200;
+    private static final int MAX_ACCOUNTS = 512;
+    private static final String OTHER_ACCOUNT = "other accounts";
     private static final long NANOS_PER_MICRO = 1_000;
 
+    private static final Pattern TOTAL_NAME = Pattern.compile("dogwoodwood_(.*)_total");
+
     private final MetricRegistry registry = new MetricRegistry();
+    private final Map<String, LongSupplier> totals = new ConcurrentSkipListMap<>();
     private final Map<CallLabels, Histogram> latencies = new HashMap<>();
     private final Map<AnswerLabels, Counter> answers = new HashMap<>();
     private final Map<CallLabels, TargetTimes> targetTimes = new HashMap<>();
+    private final Map<String, Counter> accountRequests = new HashMap<>();
+    private final Counter refusedKeys = counter("dogwoodwood_refused_keys_total");
     private final Counter attempts = counter("dogwoodwood_attempts_total");
     private final Counter retries = counter("dogwoodwood_retries_total");
     private final Counter hedges = counter("dogwoodwood_hedges_total");
@@ -59,6 +67,22 @@
                 .inc();
     }
 
+    /** Counts a request of an account that was answered. */
+    public void onAccountRequest(String account) {
+        boolean known =
+                accountRequests.containsKey(account) || accountRequests.size() < MAX_ACCOUNTS;
+        accountRequests
+                .computeIfAbsent(
+                        known ? account : OTHER_ACCOUNT,
+                        label -> counter("dogwoodwood_account_requests_total", "account", label))
+                .inc();
+    }
+
+    /** Counts a request that was refused because it has no key of an account. */
+    public void onKeyRefused() {
+        refusedKeys.inc();
+    }
+
     /** Counts an attempt that is sent to a guard. */
     public void onAttempt() {
         attempts.inc();
@@ -129,7 +153,7 @@
         boolean known = quotaRefusals.containsKey(account) || quotaRefusals.size() < MAX_ACCOUNTS;
         quotaRefusals
                 .computeIfAbsent(
-                        known ? account : "other",
+                        known ? account : OTHER_ACCOUNT,
                         label -> counter("dogwoodwood_quota_refused_total", "account", label))
                 .inc();
     }
@@ -145,6 +169,41 @@
         registry.register(name, gauge);
     }
 
+    /**
+     * Adds a counter whose value is read each time the metrics are written, and once at the stop of
+     * the node for its log.
+     *
+     * @param name the name of the metric, which ends in {@code _total}
+     * @param value the value, readable on any thread
+     * @param labels alternating names and values of labels
+     */
+    public void addTotal(String name, LongSupplier value, String... labels) {
+        addGauge(Series.of(name, labels).registryName(), value);
+        totals.put(shortName(name, labels), value);
+    }
+
+    /** Returns alternating short names and values of the totals that are not zero. */
+    public Object[] totalFields() {
+        List<Object> fields = new ArrayList<>();
+        totals.forEach(
+                (name, value) -> {
+                    long total = value.getAsLong();
+                    if (total != 0) {
+                        fields.add(name);
+                        fields.add(total);
+                    }
+                });
+        return fields.toArray();
+    }
+
+    private static String shortName(String name, String... labels) {
+        StringBuilder text = new StringBuilder(TOTAL_NAME.matcher(name).replaceAll("$1"));
+        for (int i = 1; i < labels.length; i += 2) {
+            text.append('.').append(labels[i]);
+        }
+        return text.toString();
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String prometheusText() {
         return PrometheusText.of(registry);
--- a/node/src/main/java/org/dogwoodwood/node/quota/QuotaService.java
+++ b/node/src/main/java/org/dogwoodwood/node/quota/QuotaService.java
@@ -34,6 +34,7 @@
 import org.dogwoodwood.node.metrics.NodeMetrics;
 import org.dogwoodwood.node.peer.PeerServer;
 import org.dogwoodwood.node.peer.PeerTransport;
+import org.dogwoodwood.node.settings.NodeSettings;
 
 /**
  * Decides on the calls of limited accounts at this ingress and coordinates the slots assigned to
@@ -64,21 +65,20 @@
     private QuotaService(
             Vertx vertx,
             Context loop,
-            NodeId self,
-            String dataCentre,
+            NodeSettings settings,
             ControlPlane control,
             PeerTransport transport,
             NodeMetrics metrics,
             EventLog log) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.loop = Objects.requireNonNull(loop, "loop");
-        this.self = Objects.requireNonNull(self, "self");
+        this.self = settings.nodeId();
         this.control = Objects.requireNonNull(control, "control");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.log = Objects.requireNonNull(log, "log");
         this.batches = new QuotaBatches(loop, transport, metrics);
         this.coordinators = QuotaCoordinators.create(this::sendLoan, System.nanoTime());
-        this.view = QuotaView.empty(self, dataCentre);
+        this.view = QuotaView.empty(self, settings.dataCentre());
     }
 
     /**
@@ -89,13 +89,12 @@
     public static QuotaService create(
             Vertx vertx,
             Context loop,
-            NodeId self,
-            String dataCentre,
+            NodeSettings settings,
             ControlPlane control,
             PeerTransport transport,
             NodeMetrics metrics,
             EventLog log) {
-        return new QuotaService(vertx, loop, self, dataCentre, control, transport, metrics, log);
+        return new QuotaService(vertx, loop, settings, control, transport, metrics, log);
     }
 
     /**
