--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -53,6 +53,8 @@
             Severity.ERROR,
             "A request was dispatched out of order, and its connection is closed."),
     KEY_REFUSED(405, Severity.WARNING, "A request has no key of an account and is refused."),
+    CALLER_DISPLACED(
+            407, Severity.WARNING, "A waiting connection of a caller is closed to make room."),
 
     ACCOUNT_LIMITED(
             408, Severity.WARNING, "An account exceeds its quota, and its calls get status 429."),
