--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressServer.java
@@ -326,7 +326,7 @@
         private final RequestPipeline pipeline;
         private final BodyReservation bodyReservation = memory.reservation();
         private long arrivedNanos = System.nanoTime();
-        private IngressCall call;
+        private SubmittedCall call;
         private boolean answered;
         private boolean closed;
 
@@ -351,7 +351,7 @@
                 onRefused(nodeStopping());
                 return;
             }
-            call = ingress.startCall(read, finished -> onFinished(read, finished));
+            call = SubmittedCall.submit(ingress, read, result -> onFinished(read, result));
         }
 
         void onRefused(Throwable failure) {
@@ -402,12 +402,17 @@
                     unknown.account());
         }
 
-        private void onFinished(IngressRequest read, FinishedCall finished) {
+        private void onFinished(IngressRequest read, SubmittedCall.Result result) {
             answered = true;
-            int status =
-                    finished.answer().isPresent()
-                            ? writeAnswer(finished.answer().get())
-                            : writeRefusal(read, finished.error().orElseThrow());
+            FinishedCall finished = result.finished();
+            int status;
+            if (finished.answer().isPresent()) {
+                status = writeAnswer(finished.answer().get());
+            } else if (result.refusal().isPresent()) {
+                status = writeQuotaRefusal(result.refusal().get());
+            } else {
+                status = writeRefusal(read, finished.error().orElseThrow());
+            }
             metrics.onAnswered(
                     read.service().name(),
                     read.callClass(),
@@ -454,6 +459,14 @@
             return error == ErrorCode.GUARD_BUSY ? ErrorCode.OVERLOADED : error;
         }
 
+        private int writeQuotaRefusal(QuotaRefusal refusal) {
+            closeIfDraining();
+            metrics.onIngressError(ErrorCode.QUOTA_EXCEEDED);
+            protocol.writeError(
+                    request, ErrorCode.QUOTA_EXCEEDED, refusal.detail(), refusal.retryAfterNanos());
+            return ErrorCode.QUOTA_EXCEEDED.httpStatus();
+        }
+
         private void closeIfDraining() {
             if (draining
                     && !pipeline.hasUndispatchedRequests()
