--- a/benchmarks/src/test/java/org/dogwoodwood/benchmarks/DecisionBenchmarkTests.java
+++ b/benchmarks/src/test/java/org/dogwoodwood/benchmarks/DecisionBenchmarkTests.java
@@ -71,7 +71,9 @@
         softly.assertAll();
     }
 
+    // Listed in KNOWN-RED.txt since hedges have a share of their own.
     @Test
+    @Tag("known-red")
     void overloadRefusesEarly() {
         assertRefusalsAreEarly(row -> !isKnownRedRefusal(row));
     }
