--- a/core/src/main/java/org/dogwoodwood/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/dogwoodwood/core/retry/RetryBudget.java
@@ -20,7 +20,6 @@
     private final double share;
     private double maxTokens = MAX_TOKENS;
     private double tokens = INITIAL_TOKENS;
-    private double spentByHedges;
 
     private RetryBudget(double share) {
         this.share = share;
@@ -50,19 +49,19 @@
     /** Adds the tokens earned by one successful call. */
     public void onSuccess() {
         tokens = Math.min(maxTokens, tokens + share);
-        spentByHedges = Math.max(0, spentByHedges - share);
     }
 
     /**
-     * Spends what retries leave of the budget on a hedge. A hedge doesn't reduce the retries that
-     * are possible, since those recover from a failure; it is possible only while more tokens are
-     * saved than earlier hedges have spent.
+     * Spends one token on a hedge and leaves one for a retry, which recovers from a failure. In a
+     * system with so many nodes that a node saves less than two tokens, a part of one is left;
+     * there, the share of hedges keeps tokens for retries.
      */
     boolean trySpendRest() {
-        if (tokens - spentByHedges < 1) {
+        double reserved = Math.min(1, maxTokens - 1);
+        if (tokens < 1 + reserved) {
             return false;
         }
-        spentByHedges += 1;
+        tokens -= 1;
         return true;
     }
 
