--- a/review/10/CaseColdAgain.java
+++ b/review/harness-2/ColdAgainScenario.java
@@ -6,7 +6,7 @@
  * A backend becomes cold again while it serves, and tells so in its health answers at once and in
  * its next heartbeat. The load is steady, and two thirds of the backends are warm.
  */
-final class CaseColdAgain extends CaseMain {
+final class ColdAgainScenario extends CaseMain {
 
     private static final String SERVICE = "huvo11a";
     private static final int DEADLINE_MILLIS = 1_000;
@@ -21,7 +21,7 @@
     private static final int MOST_IN_A_SECOND = (int) (36 * 1.5 + 5);
 
     public static void main(String[] arguments) {
-        new CaseColdAgain().run(arguments[0]);
+        new ColdAgainScenario().run(arguments[0]);
     }
 
     @Override
