Let the membership override a load report of an earlier state of its target

Cause: a load report overrode the membership as long as the guard had the same incarnation, whichever of the two was newer. The report DOWN of a refused call stayed, no call was sent, so no newer one came. The ingress's request for a report was dropped when the target left the table, and a node never asked itself.

Change: a target's state has a version, which its guard increases with each change; the membership entry and each load report carry it (protocol version 4 between nodes). A report counts only if its version is not lower than that of the membership, which gossip delivers everywhere; no ask and no push has to arrive. The estimate of free slots follows the same rule. MemberTarget is now what a guard announces, in place of four parameters.

--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedGuard.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/policy/SimulatedGuard.java
@@ -131,7 +131,8 @@
                 admission.serviceTimeNanos(now()) / NANOS_PER_MICRO,
                 admission.errorRatio(),
                 cold ? TargetState.COLD : TargetState.WARM,
-                admission.slowdown(now()));
+                admission.slowdown(now()),
+                0);
     }
 
     /** Returns the indices of the ingress nodes that have sent a call recently. */
--- a/benchmarks/src/main/java/org/dogwoodwood/benchmarks/slopes/MembershipSlopes.java
+++ b/benchmarks/src/main/java/org/dogwoodwood/benchmarks/slopes/MembershipSlopes.java
@@ -170,6 +170,7 @@
                             member.address().host(),
                             member.address().peerPort(),
                             member.target().state(),
+                            member.target().stateVersion(),
                             false,
                             false));
         }
--- a/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
@@ -110,6 +110,7 @@
         packer.packInt(member.target().slots());
         packer.packInt(member.target().connections());
         packer.packInt(TARGET_STATES.indexOf(member.target().state()));
+        packer.packInt(member.target().stateVersion());
     }
 
     private static Member readMember(MessageUnpacker unpacker) throws IOException {
@@ -130,7 +131,8 @@
                         readName(unpacker),
                         unpacker.unpackInt(),
                         unpacker.unpackInt(),
-                        TARGET_STATES.get(unpacker.unpackInt()));
+                        TARGET_STATES.get(unpacker.unpackInt()),
+                        unpacker.unpackInt());
         return new Member(
                 node, incarnation, version, liveness, ready, readsSource, address, target);
     }
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/BoundedReader.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/BoundedReader.java
@@ -127,7 +127,7 @@
         if (unpacker.tryUnpackNil()) {
             return Optional.empty();
         }
-        expectArrayHeader(11);
+        expectArrayHeader(12);
         return Optional.of(
                 new LoadReport(
                         readNodeId(),
@@ -140,7 +140,8 @@
                         readLong(),
                         unpacker.unpackDouble(),
                         readEnum(EnumNumbers.STATES),
-                        unpacker.unpackDouble()));
+                        unpacker.unpackDouble(),
+                        readInt()));
     }
 
     void checkEnd() {
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/FrameEncoder.java
@@ -150,14 +150,14 @@
             return;
         }
         LoadReport report = optional.get();
-        packer.packArrayHeader(11);
+        packer.packArrayHeader(12);
         packText(packer, report.guard().value(), texts);
         packer.packLong(report.incarnation()).packLong(report.sequence());
         packer.packInt(report.inFlight()).packInt(report.queued());
         packer.packInt(report.limit()).packInt(report.slots());
         packer.packLong(report.serviceTimeMicros()).packDouble(report.errorRatio());
         packer.packInt(EnumNumbers.STATES.indexOf(report.state()));
-        packer.packDouble(report.slowdown());
+        packer.packDouble(report.slowdown()).packInt(report.stateVersion());
     }
 
     private static void packHeaders(
--- a/codec/src/main/java/org/dogwoodwood/codec/wire/HelloFrame.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/wire/HelloFrame.java
@@ -24,7 +24,7 @@
     public static final int TYPE = 1;
 
     /** The protocol version of this release. */
-    public static final int PROTOCOL_VERSION = 3;
+    public static final int PROTOCOL_VERSION = 4;
 
     /** Checks that the references are present. */
     public HelloFrame {
--- a/codec/src/test/java/org/dogwoodwood/codec/wire/KnownTextsTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/wire/KnownTextsTests.java
@@ -139,7 +139,8 @@
                         12_000,
                         0,
                         TargetState.WARM,
-                        1);
+                        1,
+                        0);
         return AnswerFrame.of(
                 call(number).id(),
                 FinishedCall.answered(TargetAnswer.of(200, headers, new byte[0])),
--- a/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
@@ -144,7 +144,10 @@
                 known++;
                 double speed = overallNanos / load.serviceNanos(nowNanos, overallNanos);
                 double slots = load.limit() - load.expectedLoad(nowNanos, overallNanos, UNKNOWN);
-                free += load.acceptsWork(0) ? Math.max(0, slots) * Math.min(1, speed) : 0;
+                free +=
+                        load.acceptsWork(local.get(i))
+                                ? Math.max(0, slots) * Math.min(1, speed)
+                                : 0;
             }
         }
         return known == 0
@@ -281,7 +284,7 @@
         TargetLoad load = table.of(candidate.node());
         double cost =
                 candidate.roundTripNanos() + (candidate.suspect() ? SUSPECT_PENALTY_NANOS : 0);
-        if (!load.acceptsWork(candidate.incarnation())) {
+        if (!load.acceptsWork(candidate)) {
             return Double.POSITIVE_INFINITY;
         }
         if (!load.hasReport()) {
--- a/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
@@ -99,8 +99,14 @@
         return report != null && nowNanos - reportNanos <= RECENT_REPORT_NANOS;
     }
 
-    boolean acceptsWork(long incarnation) {
-        return report == null || report.incarnation() < incarnation || report.state().acceptsWork();
+    /**
+     * Returns whether a candidate accepts work. A candidate is a target that accepts work according
+     * to the membership; only a newer report overrides that.
+     */
+    boolean acceptsWork(Candidate candidate) {
+        return report == null
+                || report.isStateOlderThan(candidate.incarnation(), candidate.stateVersion())
+                || report.state().acceptsWork();
     }
 
     boolean reportsSlowdown() {
--- a/core/src/main/java/org/dogwoodwood/core/membership/Member.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/Member.java
@@ -28,7 +28,7 @@
         MemberTarget target) {
 
     // Numbers, flags and the MessagePack headers of an encoded member.
-    private static final int FIXED_BYTES = 49;
+    private static final int FIXED_BYTES = 54;
 
     /** Checks that the references are present. */
     public Member {
--- a/core/src/main/java/org/dogwoodwood/core/model/LoadReport.java
+++ b/core/src/main/java/org/dogwoodwood/core/model/LoadReport.java
@@ -18,6 +18,8 @@
  * @param state the state of the target
  * @param slowdown the current service time of the target as a multiple of the usual one, or 0 if
  *     the target does not report it
+ * @param stateVersion increases with each change of {@code state} within one incarnation of the
+ *     guard; the same number as in the guard's entry in the membership
  */
 public record LoadReport(
         NodeId guard,
@@ -30,7 +32,8 @@
         long serviceTimeMicros,
         double errorRatio,
         TargetState state,
-        double slowdown) {
+        double slowdown,
+        int stateVersion) {
 
     /** Checks that no reference is null. */
     public LoadReport {
@@ -38,7 +41,10 @@
         Objects.requireNonNull(state, "state");
     }
 
-    /** Creates a report of a target that does not report its slowdown. */
+    /**
+     * Creates a report of a target that does not report its slowdown and whose state has not
+     * changed yet.
+     */
     public LoadReport(
             NodeId guard,
             long incarnation,
@@ -61,6 +67,7 @@
                 serviceTimeMicros,
                 errorRatio,
                 state,
+                0,
                 0);
     }
 
@@ -69,6 +76,19 @@
         return slowdown > 0;
     }
 
+    /**
+     * Returns whether the guard changed the state of the target after this report.
+     *
+     * @param laterIncarnation the guard's incarnation according to another source
+     * @param laterStateVersion the version of the target's state according to that source
+     */
+    public boolean isStateOlderThan(long laterIncarnation, int laterStateVersion) {
+        if (incarnation != laterIncarnation) {
+            return incarnation < laterIncarnation;
+        }
+        return stateVersion < laterStateVersion;
+    }
+
     /**
      * Returns whether this report was made after another one of the same guard.
      *
--- a/core/src/main/java/org/dogwoodwood/core/routing/RouteTarget.java
+++ b/core/src/main/java/org/dogwoodwood/core/routing/RouteTarget.java
@@ -14,6 +14,8 @@
  * @param peerHost the IP number of the node's peer port
  * @param peerPort the node's peer port
  * @param state the last state announced by the node
+ * @param stateVersion the version of that state, see {@link
+ *     org.dogwoodwood.core.membership.MemberTarget}
  * @param suspect whether the node's heartbeats are overdue
  * @param dataCentreOut whether operators have taken the data centre out
  */
@@ -25,6 +27,7 @@
         String peerHost,
         int peerPort,
         TargetState state,
+        int stateVersion,
         boolean suspect,
         boolean dataCentreOut) {
 
--- a/core/src/test/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategyTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategyTests.java
@@ -94,6 +94,27 @@
         assertThat(strategy.choose(suspect, Set.of(), 0, random)).contains(FAR);
     }
 
+    // Guards against a target that is refused for good: the report with its last state was made
+    // before the membership told that it accepts work again, and no call brings a newer report.
+    @Test
+    void choosesATargetAgainOnceTheMembershipIsNewerThanItsReport() {
+        strategy.onReport(reportOfState(TargetState.DOWN, 5), 0);
+
+        assertThat(isChosen(1, 4)).as("the membership is older than the report").isFalse();
+        assertThat(isChosen(1, 5)).as("the report is of the same state").isFalse();
+        assertThat(isChosen(1, 6)).as("the membership is newer").isTrue();
+        assertThat(isChosen(2, 0)).as("the node has started again").isTrue();
+    }
+
+    private boolean isChosen(long incarnation, int stateVersion) {
+        Candidate candidate = new Candidate(NEAR, incarnation, stateVersion, "a", 0, false);
+        return strategy.choose(List.of(candidate), Set.of(), 0, random).isPresent();
+    }
+
+    private static LoadReport reportOfState(TargetState state, int stateVersion) {
+        return new LoadReport(NEAR, 1, 1, 0, 0, 8, 8, 6_000, 0, state, 0, stateVersion);
+    }
+
     // Means of few calls differ randomly. When all senders followed such differences, one target
     // was full for seconds while its neighbours had free slots.
     @Test
@@ -149,7 +170,8 @@
                         serviceMicros,
                         0,
                         TargetState.WARM,
-                        1.0),
+                        1.0,
+                        0),
                 nowNanos);
     }
 
--- a/core/src/test/java/org/dogwoodwood/core/balancing/PlacementReplay.java
+++ b/core/src/test/java/org/dogwoodwood/core/balancing/PlacementReplay.java
@@ -267,7 +267,8 @@
                             (long) (SERVICE_SECONDS * 1_000_000),
                             0,
                             TargetState.WARM,
-                            1.0);
+                            1.0,
+                            0);
             at(now + oneWay, () -> call.onAnswer(report, served, sent));
         }
     }
--- a/core/src/test/java/org/dogwoodwood/core/quota/QuotaMembersTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/quota/QuotaMembersTests.java
@@ -34,6 +34,6 @@
 
     private static RouteTarget member(String node, TargetState state, boolean suspect) {
         return new RouteTarget(
-                NodeId.of(node), 1, "shop", "north", "127.0.0.1", 1, state, suspect, false);
+                NodeId.of(node), 1, "shop", "north", "127.0.0.1", 1, state, 0, suspect, false);
     }
 }
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedControl.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedControl.java
@@ -156,6 +156,11 @@
         return table.self().target().state().acceptsWork() && !isOut(node.dataCentre());
     }
 
+    /** Returns the version of the state of this node's target. */
+    int targetStateVersion() {
+        return table.self().target().stateVersion();
+    }
+
     List<NodeId> acceptingNodes() {
         return acceptingMembers().stream()
                 .filter(member -> member.liveness() == Liveness.ALIVE)
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedGuard.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedGuard.java
@@ -363,7 +363,9 @@
                 SimulatedTarget.SLOTS,
                 admission.serviceTimeNanos(loop.now()) / 1_000,
                 admission.errorRatio(),
-                targetState());
+                targetState(),
+                0,
+                node.control().targetStateVersion());
     }
 
     private TargetState targetState() {
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedIngress.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedIngress.java
@@ -154,6 +154,7 @@
         return new Candidate(
                 member.node(),
                 member.incarnation(),
+                member.target().stateVersion(),
                 member.address().dataCentre(),
                 network.roundTripNanos(node.id(), member.node()),
                 member.liveness() != Liveness.ALIVE);
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlPlane.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.dogwoodwood.core.balancing.CapacityTable;
-import org.dogwoodwood.core.model.TargetState;
+import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.routing.RoutingTable;
 
 /** Maintains control state and publishes immutable snapshots of it to the request path. */
@@ -31,12 +31,9 @@
      * Announces the target beside this node, or a change of its state, to the log and to peers; may
      * be called on any thread.
      *
-     * @param service the service of the target
-     * @param slots the number of calls that the target can process concurrently
-     * @param connections the number of connections that the target accepts
-     * @param state the state of the target
+     * @param target the target, not null
      */
-    void announceTarget(String service, int slots, int connections, TargetState state);
+    void announceTarget(MemberTarget target);
 
     /**
      * Announces to the log and to peers that this node is leaving; the future completes after the
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -225,9 +225,8 @@
                 ready);
     }
 
-    void announceTarget(String service, int slots, int connections, TargetState target) {
+    void announceTarget(MemberTarget announced) {
         Member self = table.self();
-        MemberTarget announced = new MemberTarget(service, slots, connections, target);
         boolean leaving = self.target().state() == TargetState.LEAVING;
         if (!announced.equals(self.target()) && !leaving) {
             table.updateSelf(self.withTarget(announced), System.nanoTime());
--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -22,10 +22,10 @@
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.balancing.CapacityTable;
+import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.membership.RegistrationList;
 import org.dogwoodwood.core.membership.StableHash;
-import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.core.routing.RoutingTable;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.peer.PeerTransport;
@@ -184,10 +184,10 @@
     }
 
     @Override
-    public void announceTarget(String service, int slots, int connections, TargetState target) {
+    public void announceTarget(MemberTarget target) {
         onControlThread(
                 () -> {
-                    state.announceTarget(service, slots, connections, target);
+                    state.announceTarget(target);
                     return Future.succeededFuture();
                 });
     }
--- a/node/src/main/java/org/dogwoodwood/node/control/RoutingTableBuilder.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/RoutingTableBuilder.java
@@ -83,6 +83,7 @@
                 member.address().host(),
                 member.address().peerPort(),
                 state,
+                member.target().stateVersion(),
                 suspect,
                 orders.isOut(member.address().dataCentre()));
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -21,6 +21,7 @@
 import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.idempotency.IdempotencyRegistry;
 import org.dogwoodwood.core.measurement.MeasurementBudget;
+import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.model.CallDescription;
 import org.dogwoodwood.core.model.LoadReport;
 import org.dogwoodwood.core.model.TargetState;
@@ -235,7 +236,7 @@
 
     @Override
     public Optional<LoadReport> report() {
-        return loadReporter.next(state(), System.nanoTime());
+        return announcedTarget().map(target -> loadReporter.next(target, System.nanoTime()));
     }
 
     private void accept(CallFrame frame, Consumer<AttemptAnswer> listener, long nowNanos) {
@@ -388,14 +389,23 @@
     }
 
     private void announce() {
-        monitor.announcement()
-                .ifPresent(
-                        target ->
-                                control.announceTarget(
-                                        target.service(),
-                                        target.slots(),
-                                        target.connections(),
-                                        state()));
+        announcedTarget().ifPresent(control::announceTarget);
+    }
+
+    /** Returns the target as it is announced to peers, or empty if the node has none. */
+    private Optional<MemberTarget> announcedTarget() {
+        return monitor.announcement().map(this::announcedTarget);
+    }
+
+    private MemberTarget announcedTarget(TargetAnnouncement target) {
+        MemberTarget announced =
+                new MemberTarget(
+                        target.service(),
+                        target.slots(),
+                        target.connections(),
+                        monitor.state(),
+                        monitor.stateVersion());
+        return leaving ? announced.withState(TargetState.LEAVING) : announced;
     }
 
     private final class WaitingListener implements WaitingCalls.Listener {
--- a/node/src/main/java/org/dogwoodwood/node/guard/LoadReporter.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/LoadReporter.java
@@ -1,10 +1,9 @@
 package org.dogwoodwood.node.guard;
 
 import java.util.Objects;
-import java.util.Optional;
 import org.dogwoodwood.core.admission.AdmissionController;
+import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.model.LoadReport;
-import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.peer.PeerIdentity;
 
 /** Creates the load reports of a guard and assigns their sequence numbers. */
@@ -24,29 +23,26 @@
     }
 
     /**
-     * Returns the next report, or empty if the node has no target.
+     * Returns the next report.
      *
-     * @param state the state of the target that is reported to peers, not null
+     * @param target the target as it is announced to peers, not null
      * @param nowNanos the present time on the monotonic clock, in nanoseconds
      */
-    Optional<LoadReport> next(TargetState state, long nowNanos) {
-        if (monitor.announcement().isEmpty()) {
-            return Optional.empty();
-        }
+    LoadReport next(MemberTarget target, long nowNanos) {
         AdmissionController current = admission.get();
         sequence++;
-        return Optional.of(
-                new LoadReport(
-                        identity.node(),
-                        identity.incarnation(),
-                        sequence,
-                        current.inFlight(),
-                        current.queued(),
-                        current.limit(),
-                        monitor.slots(),
-                        current.serviceTimeNanos(nowNanos) / NANOS_PER_MICRO,
-                        current.errorRatio(),
-                        state,
-                        current.slowdown(nowNanos)));
+        return new LoadReport(
+                identity.node(),
+                identity.incarnation(),
+                sequence,
+                current.inFlight(),
+                current.queued(),
+                current.limit(),
+                monitor.slots(),
+                current.serviceTimeNanos(nowNanos) / NANOS_PER_MICRO,
+                current.errorRatio(),
+                target.state(),
+                current.slowdown(nowNanos),
+                target.stateVersion());
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -62,6 +62,7 @@
     private long changeCount;
     private TargetClient client;
     private TargetState state = TargetState.DOWN;
+    private int stateVersion;
     private boolean cold;
     private boolean draining;
     private int slots;
@@ -227,6 +228,11 @@
         return state;
     }
 
+    /** Returns a number that increases with each change of the state. */
+    int stateVersion() {
+        return stateVersion;
+    }
+
     int slots() {
         return slots;
     }
@@ -381,8 +387,7 @@
 
     private void goDown() {
         if (state != TargetState.DOWN) {
-            state = TargetState.DOWN;
-            listener.onState(state);
+            changeState(TargetState.DOWN);
         }
     }
 
@@ -423,11 +428,16 @@
         TargetState next =
                 draining ? TargetState.DRAINING : cold ? TargetState.COLD : TargetState.WARM;
         if (next != state) {
-            state = next;
-            listener.onState(state);
+            changeState(next);
         }
     }
 
+    private void changeState(TargetState next) {
+        state = next;
+        stateVersion++;
+        listener.onState(state);
+    }
+
     private static boolean isConnectionRefused(Throwable failure) {
         return failure instanceof ConnectException;
     }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -160,6 +160,7 @@
                     new Candidate(
                             target.node(),
                             target.incarnation(),
+                            target.stateVersion(),
                             target.dataCentre(),
                             sender.roundTripNanos(target) + dataCentreCostNanos(target),
                             target.suspect()));
@@ -318,8 +319,8 @@
 
     /**
      * Requests a load report from each guard whose latest report says that its target accepts no
-     * work. These guards are sent no calls, so no answer would show that the target accepts work
-     * again.
+     * work, though the table has a target that does. The table will tell when the target accepts
+     * work again; the request finds out sooner, since no call is sent whose answer would tell it.
      */
     private void requestReportsFromUnavailableTargets(long nowNanos) {
         if (unavailableReports.isEmpty()
@@ -327,12 +328,22 @@
             return;
         }
         reportsRequestedNanos = nowNanos;
-        unavailableReports.keySet().removeIf(node -> findTarget(node).isEmpty());
+        unavailableReports.values().removeIf(report -> !isContradicting(report));
         for (NodeId node : List.copyOf(unavailableReports.keySet())) {
             sender.requestReport(findTarget(node).orElseThrow());
         }
     }
 
+    /** Returns whether the report is newer than the table, which has a target that accepts work. */
+    private boolean isContradicting(LoadReport report) {
+        return findTarget(report.guard())
+                .filter(
+                        target ->
+                                !report.isStateOlderThan(
+                                        target.incarnation(), target.stateVersion()))
+                .isPresent();
+    }
+
     // A routing table is replaced as a whole, so comparing contents would only cost time.
     private static boolean isSameInstance(Object one, Object other) {
         return one == other;
--- a/node/src/test/java/org/dogwoodwood/node/control/AnnouncementTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/AnnouncementTests.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.TargetState;
@@ -35,7 +36,7 @@
     @Test
     void announcesOnceWhileReaderPauses() {
         DefaultControlPlane control = start();
-        control.announceTarget("outings", 6, 220, TargetState.WARM);
+        control.announceTarget(new MemberTarget("outings", 6, 220, TargetState.WARM));
         Waiting.until("the announcement was appended", () -> log.appends.get() > 0);
         Waiting.sleep(5_000);
 
--- a/node/src/test/java/org/dogwoodwood/node/control/ControlCluster.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/ControlCluster.java
@@ -22,6 +22,7 @@
 import org.dogwoodwood.codec.log.LogRecordCodec;
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.configuration.DataCentreDefinition;
+import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.membership.MembershipTimings;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.model.NodeId;
@@ -90,7 +91,7 @@
                         EventLog.create());
         nodes.put(number, node);
         await(node.start());
-        node.announceTarget(SERVICE, 6, 220, TargetState.WARM);
+        node.announceTarget(new MemberTarget(SERVICE, 6, 220, TargetState.WARM));
         return node;
     }
 
--- a/node/src/test/java/org/dogwoodwood/node/peer/PeerChannelTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/peer/PeerChannelTests.java
@@ -150,6 +150,7 @@
                         "127.0.0.1",
                         port,
                         TargetState.WARM,
+                        0,
                         false,
                         false);
     }
--- a/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/peer/PeerProtocolTests.java
@@ -332,6 +332,7 @@
                 endpoint.host(),
                 endpoint.port(),
                 TargetState.WARM,
+                0,
                 false,
                 false);
     }
--- a/node/src/test/java/org/dogwoodwood/node/support/StubControlPlane.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/StubControlPlane.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.core.routing.RoutingTable;
 import org.dogwoodwood.node.control.ControlPlane;
@@ -41,8 +42,8 @@
     }
 
     @Override
-    public void announceTarget(String service, int slots, int connections, TargetState state) {
-        announcements.add(state);
+    public void announceTarget(MemberTarget target) {
+        announcements.add(target.state());
     }
 
     @Override
--- a/node/src/test/java/org/dogwoodwood/node/support/TestNode.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/TestNode.java
@@ -91,6 +91,7 @@
                 through.host(),
                 through.port(),
                 TargetState.WARM,
+                0,
                 false,
                 false);
     }
