--- a/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.dogwoodwood.core.health.CrashKind;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.core.membership.GossipMessage;
@@ -174,7 +175,7 @@
     private static void writeCrashReport(MessagePacker packer, CrashReport report)
             throws IOException {
         packer.packLong(report.fingerprint());
-        packer.packBoolean(report.kind() == CrashReport.Kind.CRASHED);
+        packer.packInt(report.kind().code());
         packer.packString(report.guard().value());
         packer.packLong(report.targetIncarnation());
         packer.packLong(report.sequence());
@@ -183,10 +184,10 @@
 
     private static CrashReport readCrashReport(MessageUnpacker unpacker) throws IOException {
         long fingerprint = unpacker.unpackLong();
-        boolean crashed = unpacker.unpackBoolean();
+        CrashKind kind = readCrashKind(unpacker);
         return new CrashReport(
                 fingerprint,
-                crashed ? CrashReport.Kind.CRASHED : CrashReport.Kind.CLEARED,
+                kind,
                 readNode(unpacker),
                 unpacker.unpackLong(),
                 unpacker.unpackLong(),
@@ -242,6 +243,11 @@
                 .orElseThrow(() -> new IllegalArgumentException("Unknown liveness number."));
     }
 
+    private static CrashKind readCrashKind(MessageUnpacker unpacker) throws IOException {
+        return CrashKind.fromCode(unpacker.unpackInt())
+                .orElseThrow(() -> new IllegalArgumentException("Unknown crash report number."));
+    }
+
     private static <T> void writeList(
             MessagePacker packer, List<T> elements, ElementWriter<T> writer) throws IOException {
         packer.packArrayHeader(elements.size());
--- a/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.configuration.AcceptedConfiguration;
+import org.dogwoodwood.core.health.CrashKind;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.core.membership.DataCentreOrders;
@@ -50,9 +51,7 @@
                     List.of(MEMBER),
                     List.of(new LivenessUpdate(NODE, 1_700_000_000_000L, 3, Liveness.DEAD)),
                     List.of(new DataCentreOrder("north", 4, DataCentreOrder.State.OUT, "o")),
-                    List.of(
-                            new CrashReport(
-                                    Long.MIN_VALUE, CrashReport.Kind.CLEARED, NODE, 2, 3, 4)));
+                    List.of(new CrashReport(Long.MIN_VALUE, CrashKind.CLEARED, NODE, 2, 3, 4)));
 
     /** Guards against a field that is lost in encoding or decoding. */
     @Test
--- a/core/src/main/java/org/dogwoodwood/core/configuration/Configuration.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/Configuration.java
@@ -65,6 +65,17 @@
                 newVersion, services, dataCentres, callClasses, policies, routes, accounts);
     }
 
+    /**
+     * Returns the policy of a service; the default one if the service or its policy is not
+     * configured.
+     */
+    public PolicyDefinition policyOf(String service) {
+        ServiceDefinition definition = services.get(service);
+        String name = definition == null ? PolicyDefinition.DEFAULT_NAME : definition.policy();
+        PolicyDefinition policy = policies.get(name);
+        return policy == null ? PolicyDefinition.withDefaults(name) : policy;
+    }
+
     /** Returns the objects of one kind by name. */
     public Map<String, ? extends ConfigurationObject> objectsOf(ObjectKind kind) {
         return switch (kind) {
--- a/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
+++ b/core/src/main/java/org/dogwoodwood/core/configuration/PolicyDefinition.java
@@ -10,8 +10,10 @@
  * @param queueLimitMillis the maximum expected wait in a guard's queue, in milliseconds
  * @param coldSlots the maximum number of concurrent calls at a cold target
  * @param ejectionShare the maximum share of a service's targets that may be ejected
- * @param crashLimit the number of targets that one request may crash before it is refused
- * @param crashHoldSeconds how long such a request is refused, in seconds
+ * @param crashLimit the number of crashes without a success in between from which on a request that
+ *     was in flight runs on trial only
+ * @param crashHoldSeconds how long a request is refused after it crashed a target on trial, in
+ *     seconds
  * @param coldCallsPerSecond the maximum rate of calls to a cold target, per second; 0 for no limit
  * @param dataCentreCostMillis how much longer a call may take in the local data centre before a
  *     target in another one is preferred, in milliseconds
@@ -31,6 +33,9 @@
         double hedgeShare)
         implements ConfigurationObject {
 
+    /** The name of the policy of services that name none. */
+    public static final String DEFAULT_NAME = "default";
+
     public static final double DEFAULT_RETRY_SHARE = 0.1;
     public static final double DEFAULT_HEDGE_QUANTILE = 0.95;
     public static final int DEFAULT_QUEUE_LIMIT_MILLIS = 100;
--- a/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
@@ -4,63 +4,46 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
-import java.util.stream.Collectors;
-import org.dogwoodwood.core.ErrorCode;
-import org.dogwoodwood.core.model.CallDescription;
-import org.dogwoodwood.core.model.CallId;
+import java.util.TreeMap;
 import org.dogwoodwood.core.model.NodeId;
-import org.dogwoodwood.core.model.RendezvousHash;
 
 /**
  * Registry of requests that were in flight when a target crashed. Not thread-safe.
  *
  * <p>Every node holds a copy. Copies that have exchanged their records converge, regardless of the
- * order in which records arrive and of duplicates.
+ * order in which records arrive and of duplicates. Crashes count until a target has answered the
+ * request, at whatever node.
  */
 public final class CrashFingerprintRegistry {
 
-    private record Evidence(
-            CrashRecord.Kind kind, NodeId guard, long targetIncarnation, long sequence) {}
+    private record Evidence(CrashKind kind, NodeId guard, long targetIncarnation, long sequence) {}
 
-    private record Trial(CallId call, int attempt) {}
-
-    private int crashLimit;
     private long holdNanos;
     private final Map<Long, Map<Evidence, Long>> evidenceByFingerprint = new HashMap<>();
-    private final Map<Long, Trial> trials = new HashMap<>();
 
-    private CrashFingerprintRegistry(int crashLimit, long holdNanos) {
-        setPolicy(crashLimit, holdNanos);
+    private CrashFingerprintRegistry(long holdNanos) {
+        setHoldNanos(holdNanos);
     }
 
     /**
      * Returns an empty registry.
      *
-     * @param crashLimit the number of crashes after which a request is refused
-     * @param holdNanos how long a crash is counted, in nanoseconds
+     * @param holdNanos the longest hold time of all policies, in nanoseconds; a crash counts for as
+     *     long, and one on trial for a multiple of it
      */
-    public static CrashFingerprintRegistry create(int crashLimit, long holdNanos) {
-        return new CrashFingerprintRegistry(crashLimit, holdNanos);
+    public static CrashFingerprintRegistry create(long holdNanos) {
+        return new CrashFingerprintRegistry(holdNanos);
     }
 
-    /**
-     * Changes the policy.
-     *
-     * @param newCrashLimit the number of crashes after which a request is refused, at least 1
-     * @param newHoldNanos how long a crash is counted, in nanoseconds
-     */
-    public void setPolicy(int newCrashLimit, long newHoldNanos) {
-        checkArgument(newCrashLimit > 0, "The crash limit must be at least 1.");
+    /** Changes the longest hold time of all policies, in nanoseconds. */
+    public void setHoldNanos(long newHoldNanos) {
         checkArgument(newHoldNanos > 0, "The crash hold time must be positive.");
-        crashLimit = newCrashLimit;
         holdNanos = newHoldNanos;
     }
 
@@ -74,87 +57,59 @@
      */
     public void onCrash(
             NodeId guard, long targetIncarnation, Set<Long> fingerprints, long nowNanos) {
-        Evidence crash = new Evidence(CrashRecord.Kind.CRASHED, guard, targetIncarnation, 0);
+        Evidence crash = new Evidence(CrashKind.CRASHED, guard, targetIncarnation, 0);
         fingerprints.forEach(fingerprint -> addEvidence(fingerprint, crash, nowNanos));
     }
 
-    /** Returns the crash status of a request. */
-    public CrashStatus status(long fingerprint, long nowNanos) {
-        int crashes = crashes(fingerprint, nowNanos);
-        if (crashes == 0) {
-            return CrashStatus.CLEAR;
-        }
-        return crashes >= crashLimit ? CrashStatus.BLOCKED : CrashStatus.SUSPECT;
+    /** Records that a target crashed while it ran a request on trial. */
+    public void onTrialCrash(
+            NodeId guard, long targetIncarnation, long fingerprint, long nowNanos) {
+        Evidence crash = new Evidence(CrashKind.TRIAL_CRASHED, guard, targetIncarnation, 0);
+        addEvidence(fingerprint, crash, nowNanos);
     }
 
-    /**
-     * Returns the only node that may run a suspect request, or empty if there are no targets.
-     *
-     * @param fingerprint the fingerprint of the request
-     * @param targets the nodes whose targets accept new calls, not null
-     */
-    public static Optional<NodeId> trialTarget(long fingerprint, Collection<NodeId> targets) {
-        return RendezvousHash.first("trial\n" + fingerprint, targets);
+    /** Records that a target answered a request; has no effect unless the request is suspect. */
+    public void onAnswered(NodeId guard, long targetIncarnation, long fingerprint, long nowNanos) {
+        if (suspicion(fingerprint, nowNanos).isPresent()) {
+            Evidence answer = new Evidence(CrashKind.CLEARED, guard, targetIncarnation, nowNanos);
+            addEvidence(fingerprint, answer, nowNanos);
+        }
     }
 
-    /**
-     * Decides at a guard whether an attempt may start now. A suspect request that may start is on
-     * trial until {@link #endTrial}.
-     *
-     * @param call the attempt, not null
-     * @param self the node of this guard
-     * @param targets the nodes whose targets accept new calls, not null
-     * @param nowNanos the current time in nanoseconds
-     * @return why the attempt must not start, or empty if it may
-     */
-    public Optional<ErrorCode> beginTrial(
-            CallDescription call, NodeId self, Collection<NodeId> targets, long nowNanos) {
-        long fingerprint = call.fingerprint();
-        return switch (status(fingerprint, nowNanos)) {
-            case CLEAR -> Optional.empty();
-            case BLOCKED -> Optional.of(ErrorCode.CRASHING_REQUEST);
-            case SUSPECT -> {
-                boolean here = trialTarget(fingerprint, targets).filter(self::equals).isPresent();
-                Trial trial = new Trial(call.id(), call.attempt());
-                yield here && trials.putIfAbsent(fingerprint, trial) == null
-                        ? Optional.empty()
-                        : Optional.of(ErrorCode.GUARD_BUSY);
+    /** Returns the evidence against a request, or empty if there is none. */
+    public Optional<CrashSuspicion> suspicion(long fingerprint, long nowNanos) {
+        Map<Evidence, Long> evidence = evidenceByFingerprint.getOrDefault(fingerprint, Map.of());
+        long clearedAt = Long.MIN_VALUE;
+        for (Map.Entry<Evidence, Long> entry : evidence.entrySet()) {
+            if (!entry.getKey().kind().isCrash()) {
+                clearedAt = Math.max(clearedAt, entry.getValue());
+            }
+        }
+        int crashes = 0;
+        int trialCrashes = 0;
+        long lastCrashNanos = Long.MIN_VALUE;
+        for (Map.Entry<Evidence, Long> entry : evidence.entrySet()) {
+            CrashKind kind = entry.getKey().kind();
+            long at = entry.getValue();
+            if (kind.isCrash() && at >= clearedAt && !isExpired(kind, at, nowNanos)) {
+                crashes++;
+                trialCrashes += kind == CrashKind.TRIAL_CRASHED ? 1 : 0;
+                lastCrashNanos = Math.max(lastCrashNanos, at);
             }
-        };
-    }
-
-    /**
-     * Ends the trial of a suspect request; has no effect on an attempt that was not on trial.
-     *
-     * @param call the attempt, not null
-     * @param self the node of this guard
-     * @param targetIncarnation the incarnation of the target that ran the attempt
-     * @param answered whether the target answered the attempt, which clears the request
-     * @param nowNanos the current time in nanoseconds
-     */
-    public void endTrial(
-            CallDescription call,
-            NodeId self,
-            long targetIncarnation,
-            boolean answered,
-            long nowNanos) {
-        long fingerprint = call.fingerprint();
-        if (trials.remove(fingerprint, new Trial(call.id(), call.attempt())) && answered) {
-            addEvidence(
-                    fingerprint,
-                    new Evidence(CrashRecord.Kind.CLEARED, self, targetIncarnation, nowNanos),
-                    nowNanos);
         }
+        return crashes == 0
+                ? Optional.empty()
+                : Optional.of(new CrashSuspicion(crashes, trialCrashes, lastCrashNanos));
     }
 
-    /** Returns the fingerprints of all requests with the given status. */
-    public Set<Long> fingerprints(CrashStatus status, long nowNanos) {
-        return evidenceByFingerprint.keySet().stream()
-                .filter(fingerprint -> status(fingerprint, nowNanos) == status)
-                .collect(
-                        Collectors.collectingAndThen(
-                                Collectors.toCollection(TreeSet::new),
-                                Collections::unmodifiableSet));
+    /** Returns the evidence against all requests that are suspect, by fingerprint. */
+    public Map<Long, CrashSuspicion> suspicions(long nowNanos) {
+        Map<Long, CrashSuspicion> suspicions = new TreeMap<>();
+        for (long fingerprint : evidenceByFingerprint.keySet()) {
+            suspicion(fingerprint, nowNanos)
+                    .ifPresent(suspicion -> suspicions.put(fingerprint, suspicion));
+        }
+        return suspicions;
     }
 
     /** Returns all unexpired evidence, for other nodes to merge. */
@@ -184,33 +139,22 @@
      */
     public void merge(Collection<CrashRecord> records, long nowNanos) {
         for (CrashRecord record : records) {
-            if (record.ageNanos() >= 0 && record.ageNanos() < holdNanos) {
+            long atNanos = nowNanos - record.ageNanos();
+            if (record.ageNanos() >= 0 && !isExpired(record.kind(), atNanos, nowNanos)) {
                 Evidence what =
                         new Evidence(
                                 record.kind(),
                                 record.guard(),
                                 record.targetIncarnation(),
                                 record.sequence());
-                addEvidence(record.fingerprint(), what, nowNanos - record.ageNanos());
+                addEvidence(record.fingerprint(), what, atNanos);
             }
         }
         removeExpired(nowNanos);
     }
 
-    private int crashes(long fingerprint, long nowNanos) {
-        Map<Evidence, Long> evidence = evidenceByFingerprint.getOrDefault(fingerprint, Map.of());
-        long clearedAt =
-                evidence.entrySet().stream()
-                        .filter(entry -> entry.getKey().kind() == CrashRecord.Kind.CLEARED)
-                        .mapToLong(Map.Entry::getValue)
-                        .max()
-                        .orElse(Long.MIN_VALUE);
-        return (int)
-                evidence.entrySet().stream()
-                        .filter(entry -> entry.getKey().kind() == CrashRecord.Kind.CRASHED)
-                        .mapToLong(Map.Entry::getValue)
-                        .filter(at -> at >= clearedAt && nowNanos - at < holdNanos)
-                        .count();
+    private boolean isExpired(CrashKind kind, long atNanos, long nowNanos) {
+        return nowNanos - atNanos >= kind.retentionNanos(holdNanos);
     }
 
     private void addEvidence(long fingerprint, Evidence what, long atNanos) {
@@ -224,7 +168,15 @@
     private void removeExpired(long nowNanos) {
         evidenceByFingerprint
                 .values()
-                .forEach(map -> map.values().removeIf(at -> nowNanos - at >= holdNanos));
+                .forEach(
+                        evidence ->
+                                evidence.entrySet()
+                                        .removeIf(
+                                                entry ->
+                                                        isExpired(
+                                                                entry.getKey().kind(),
+                                                                entry.getValue(),
+                                                                nowNanos)));
         evidenceByFingerprint.values().removeIf(Map::isEmpty);
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/health/CrashRecord.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashRecord.java
@@ -15,20 +15,12 @@
  */
 public record CrashRecord(
         long fingerprint,
-        Kind kind,
+        CrashKind kind,
         NodeId guard,
         long targetIncarnation,
         long sequence,
         long ageNanos) {
 
-    /** What was observed. */
-    public enum Kind {
-        /** The request was in flight when the target crashed. */
-        CRASHED,
-        /** The target answered the request while the request was a suspect. */
-        CLEARED
-    }
-
     /** Checks that no reference is null. */
     public CrashRecord {
         Objects.requireNonNull(kind, "kind");
--- a/core/src/main/java/org/dogwoodwood/core/health/CrashStatus.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashStatus.java
@@ -2,10 +2,10 @@
 
 /** Classification of a request by the crashes during which it was in flight. */
 public enum CrashStatus {
-    /** No unexpired crash is recorded since the request was last cleared. */
+    /** No unexpired crash is recorded since a target last answered it. */
     CLEAR,
-    /** It was in flight at a crash; only one attempt runs at a time, at one target. */
+    /** It was in flight at a crash, as others were; it runs as usual, and a success clears it. */
     SUSPECT,
-    /** It was in flight at too many crashes and is refused. */
+    /** It was in flight at too many crashes; it runs only on trial. */
     BLOCKED
 }
--- a/core/src/main/java/org/dogwoodwood/core/membership/CrashReport.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/CrashReport.java
@@ -1,6 +1,7 @@
 package org.dogwoodwood.core.membership;
 
 import java.util.Objects;
+import org.dogwoodwood.core.health.CrashKind;
 import org.dogwoodwood.core.model.NodeId;
 
 /**
@@ -15,7 +16,7 @@
  */
 public record CrashReport(
         long fingerprint,
-        Kind kind,
+        CrashKind kind,
         NodeId guard,
         long targetIncarnation,
         long sequence,
@@ -24,14 +25,6 @@
     // Five numbers and the MessagePack headers of an encoded report.
     private static final int FIXED_BYTES = 44;
 
-    /** The kinds of observation. */
-    public enum Kind {
-        /** The request was in flight when the target crashed. */
-        CRASHED,
-        /** The request completed while it was suspected of crashing targets. */
-        CLEARED
-    }
-
     /** Checks that the references are present. */
     public CrashReport {
         Objects.requireNonNull(kind, "kind");
--- a/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
+++ b/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
@@ -4,11 +4,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.dogwoodwood.core.OrderedCopies;
 import org.dogwoodwood.core.configuration.Configuration;
+import org.dogwoodwood.core.health.CrashPolicy;
+import org.dogwoodwood.core.health.CrashStatus;
+import org.dogwoodwood.core.health.CrashSuspicion;
+import org.dogwoodwood.core.model.NodeId;
 
 /**
  * Immutable snapshot of the configuration and the targets that the control thread hands to the
@@ -20,24 +24,21 @@
  * @param ownLeaseExpiryNanos the end of this node's lease, until which it may start calls, on its
  *     monotonic clock, in nanoseconds; {@link Long#MAX_VALUE} if it has no peers
  * @param ownDataCentreOut whether operators have taken this node's data centre out
- * @param blockedFingerprints fingerprints of requests that have crashed too many targets
- * @param suspectFingerprints fingerprints of requests that were in flight at a crash; each runs
- *     only at its trial target
+ * @param suspicions the evidence against requests that were in flight at crashes of targets, by
+ *     fingerprint
  */
 public record RoutingTable(
         Configuration configuration,
         Map<String, List<RouteTarget>> targetsByService,
         long ownLeaseExpiryNanos,
         boolean ownDataCentreOut,
-        Set<Long> blockedFingerprints,
-        Set<Long> suspectFingerprints) {
+        Map<Long, CrashSuspicion> suspicions) {
 
     /** Checks that the configuration is not null and copies the collections. */
     public RoutingTable {
         Objects.requireNonNull(configuration, "configuration");
         targetsByService = OrderedCopies.copyOf(targetsByService);
-        blockedFingerprints = OrderedCopies.copyOf(blockedFingerprints);
-        suspectFingerprints = OrderedCopies.copyOf(suspectFingerprints);
+        suspicions = OrderedCopies.copyOf(suspicions);
     }
 
     /** Creates a table without suspect requests. */
@@ -45,20 +46,13 @@
             Configuration configuration,
             Map<String, List<RouteTarget>> targetsByService,
             long ownLeaseExpiryNanos,
-            boolean ownDataCentreOut,
-            Set<Long> blockedFingerprints) {
-        this(
-                configuration,
-                targetsByService,
-                ownLeaseExpiryNanos,
-                ownDataCentreOut,
-                blockedFingerprints,
-                Set.of());
+            boolean ownDataCentreOut) {
+        this(configuration, targetsByService, ownLeaseExpiryNanos, ownDataCentreOut, Map.of());
     }
 
     /** Returns the initial table of a node, without a configuration, targets or a lease. */
     public static RoutingTable empty() {
-        return new RoutingTable(Configuration.empty(), Map.of(), Long.MIN_VALUE, false, Set.of());
+        return new RoutingTable(Configuration.empty(), Map.of(), Long.MIN_VALUE, false);
     }
 
     /** Groups targets by service, in order of node id. */
@@ -75,6 +69,25 @@
         return targetsByService.getOrDefault(service, List.of());
     }
 
+    /** Returns the nodes whose targets of a service accept work. */
+    public List<NodeId> acceptingNodes(String service) {
+        return targetsOf(service).stream()
+                .filter(RouteTarget::acceptsWork)
+                .map(RouteTarget::node)
+                .toList();
+    }
+
+    /** Returns the evidence against a request if it may run on trial only, or empty. */
+    public Optional<CrashSuspicion> blocked(String service, long fingerprint) {
+        return Optional.ofNullable(suspicions.get(fingerprint))
+                .filter(found -> found.status(crashPolicy(service)) == CrashStatus.BLOCKED);
+    }
+
+    /** Returns when requests of a service that may crash targets are refused. */
+    public CrashPolicy crashPolicy(String service) {
+        return CrashPolicy.of(configuration.policyOf(service));
+    }
+
     /** Returns the number of nodes that have a target, which is nearly all nodes. */
     public int nodes() {
         return targetsByService.values().stream().mapToInt(List::size).sum();
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedControl.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedControl.java
@@ -5,7 +5,10 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.dogwoodwood.core.health.CrashFingerprintRegistry;
+import org.dogwoodwood.core.health.CrashPolicy;
 import org.dogwoodwood.core.health.CrashRecord;
+import org.dogwoodwood.core.health.CrashStatus;
+import org.dogwoodwood.core.health.CrashSuspicion;
 import org.dogwoodwood.core.idempotency.DefaultIdempotencyRegistry;
 import org.dogwoodwood.core.idempotency.KeyOwnership;
 import org.dogwoodwood.core.idempotency.MemberView.RegisteredMember;
@@ -20,7 +23,6 @@
 import org.dogwoodwood.core.membership.MembershipTable;
 import org.dogwoodwood.core.membership.MembershipTimings;
 import org.dogwoodwood.core.membership.NodeAddress;
-import org.dogwoodwood.core.model.CallDescription;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.RendezvousHash;
 import org.dogwoodwood.core.model.TargetState;
@@ -61,8 +63,7 @@
         this.gossip = GossipStrategy.create(table, orders, loop.random());
         this.crashes =
                 CrashFingerprintRegistry.create(
-                        cluster.policies().policy().crashLimit(),
-                        cluster.policies().policy().crashHoldSeconds() * EventLoop.SECOND);
+                        CrashPolicy.of(cluster.policies().policy()).holdNanos());
         this.ownership =
                 KeyOwnership.create(
                         SimulatedCluster.SERVICE,
@@ -109,8 +110,14 @@
         return orders;
     }
 
-    CrashFingerprintRegistry crashes() {
-        return crashes;
+    /** Returns the evidence against a request if it may run on trial only, or empty. */
+    Optional<CrashSuspicion> blocked(long fingerprint) {
+        return crashes.suspicion(fingerprint, loop.now())
+                .filter(found -> found.status(crashPolicy()) == CrashStatus.BLOCKED);
+    }
+
+    CrashPolicy crashPolicy() {
+        return CrashPolicy.of(cluster.policies().policy());
     }
 
     KeyOwnership ownership() {
@@ -194,8 +201,14 @@
         gossipNow();
     }
 
-    void endTrial(CallDescription call, long targetIncarnation, boolean answered) {
-        crashes.endTrial(call, node.id(), targetIncarnation, answered, loop.now());
+    void onTrialCrash(long targetIncarnation, long fingerprint) {
+        crashes.onTrialCrash(node.id(), targetIncarnation, fingerprint, loop.now());
+        gossipNow();
+    }
+
+    /** Records that a target answered a request. */
+    void onAnswered(long targetIncarnation, long fingerprint) {
+        crashes.onAnswered(node.id(), targetIncarnation, fingerprint, loop.now());
     }
 
     void checkReady() {
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedGuard.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedGuard.java
@@ -18,6 +18,8 @@
 import org.dogwoodwood.core.calls.CallRegistry;
 import org.dogwoodwood.core.calls.CallState;
 import org.dogwoodwood.core.calls.FinishedCall;
+import org.dogwoodwood.core.health.CrashSuspicion;
+import org.dogwoodwood.core.health.CrashTrials;
 import org.dogwoodwood.core.idempotency.IdempotencyRegistry;
 import org.dogwoodwood.core.idempotency.KeyDecision;
 import org.dogwoodwood.core.model.CallDescription;
@@ -53,7 +55,7 @@
     private final LongPredicate pollBudget;
     private final IdempotencyRegistry keys;
     private final Map<AttemptId, PendingCall> pending = new LinkedHashMap<>();
-    private final Set<AttemptId> attemptsOnTrial = new HashSet<>();
+    private final CrashTrials trials;
     private final Map<AttemptId, Boolean> keyedAttempts = new HashMap<>();
     private long targetIncarnation = 1;
     private long reportSequence;
@@ -70,6 +72,7 @@
         this.admission = policies.admissionController(capacity(true), loop.now());
         this.pollBudget = policies.measurementBudget(loop.now());
         this.keys = policies.idempotencyRegistry(node.control().keys(), node.control().ownership());
+        this.trials = CrashTrials.create(node.id());
         target.setCrashListener(() -> node.execute(this::onTargetDown));
     }
 
@@ -132,19 +135,24 @@
     }
 
     private void beginTrial(CallMessage message) {
+        CallDescription call = message.call();
+        Optional<CrashSuspicion> blocked = node.control().blocked(call.fingerprint());
         Optional<ErrorCode> refusal =
-                node.control()
-                        .crashes()
-                        .beginTrial(
-                                message.call(),
-                                node.id(),
-                                node.control().acceptingNodes(),
-                                loop.now());
+                blocked.flatMap(
+                        suspicion ->
+                                trials.refusal(
+                                        call,
+                                        suspicion,
+                                        node.control().crashPolicy(),
+                                        node.control().acceptingNodes(),
+                                        loop.now()));
         if (refusal.isPresent()) {
             finish(message.id(), FinishedCall.notRun(refusal.get()));
             return;
         }
-        attemptsOnTrial.add(message.id());
+        if (blocked.isPresent()) {
+            trials.begin(call);
+        }
         beginKey(message);
     }
 
@@ -201,7 +209,7 @@
                         result -> node.execute(() -> onResult(pendingCall, result)));
         if (!connected) {
             pendingCall.started = false;
-            targetDown = true;
+            onTargetDown();
             releaseSlot(call);
             refuse(pendingCall, ErrorCode.NO_TARGET);
             return;
@@ -249,9 +257,10 @@
 
     private void finish(AttemptId id, FinishedCall finished) {
         PendingCall call = pending.remove(id);
-        if (attemptsOnTrial.remove(id)) {
-            boolean passed = call.started && finished.outcome() == Outcome.ANSWERED;
-            node.control().endTrial(call.message.call(), targetIncarnation, passed);
+        trials.end(call.message.call(), finished.outcome() == Outcome.UNKNOWN, loop.now());
+        if (finished.outcome() == Outcome.ANSWERED) {
+            long fingerprint = call.message.call().fingerprint();
+            node.control().onAnswered(targetIncarnation, fingerprint);
         }
         keyedAttempts.remove(id);
         calls.finish(id, finished, loop.now());
@@ -311,11 +320,12 @@
     }
 
     private void onLoad(SimulatedTarget.Load load) {
+        boolean returned = targetDown;
         targetDown = false;
         targetIncarnation = Math.max(targetIncarnation, load.capacity().incarnation());
         admission.onCapacity(load.capacity(), loop.now());
         boolean refuses = policies.refusesWork(false, load.draining());
-        if (refuses != draining) {
+        if (returned || refuses != draining) {
             draining = refuses;
             node.control().announceState(draining ? TargetState.DRAINING : TargetState.WARM);
         }
@@ -326,11 +336,15 @@
             return;
         }
         targetDown = true;
+        node.control().announceState(TargetState.DOWN);
         Set<Long> fingerprints = new HashSet<>();
         pending.values().stream()
                 .filter(call -> call.started)
                 .forEach(call -> fingerprints.add(call.message.call().fingerprint()));
-        node.control().onCrash(targetIncarnation, fingerprints);
+        trials.onCrash(fingerprints)
+                .ifPresentOrElse(
+                        tried -> node.control().onTrialCrash(targetIncarnation, tried),
+                        () -> node.control().onCrash(targetIncarnation, fingerprints));
         targetIncarnation++;
         admission.onCapacity(capacity(true), loop.now());
     }
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedIngress.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedIngress.java
@@ -14,8 +14,8 @@
 import org.dogwoodwood.core.balancing.ExpectedCompletionStrategy;
 import org.dogwoodwood.core.calls.AttemptId;
 import org.dogwoodwood.core.calls.FinishedCall;
-import org.dogwoodwood.core.health.CrashFingerprintRegistry;
-import org.dogwoodwood.core.health.CrashStatus;
+import org.dogwoodwood.core.health.CrashSuspicion;
+import org.dogwoodwood.core.health.CrashTrials;
 import org.dogwoodwood.core.health.OutlierEjection;
 import org.dogwoodwood.core.idempotency.MemberView.RegisteredMember;
 import org.dogwoodwood.core.membership.Liveness;
@@ -103,13 +103,12 @@
         if (call.done) {
             return;
         }
-        CrashStatus status =
-                node.control().crashes().status(call.request.fingerprint(), loop.now());
-        if (status == CrashStatus.BLOCKED) {
+        Optional<CrashSuspicion> blocked = node.control().blocked(call.request.fingerprint());
+        if (blocked.isPresent() && !mayBeTried(call, blocked.get())) {
             respond(call, FinishedCall.notRun(ErrorCode.CRASHING_REQUEST));
             return;
         }
-        Optional<RegisteredMember> chosen = choose(call, status);
+        Optional<RegisteredMember> chosen = choose(call, blocked.isPresent());
         if (chosen.isEmpty()) {
             respond(call, FinishedCall.notRun(ErrorCode.NO_TARGET));
             return;
@@ -119,7 +118,7 @@
         send(call, chosen.get());
     }
 
-    private Optional<RegisteredMember> choose(OpenCall call, CrashStatus status) {
+    private Optional<RegisteredMember> choose(OpenCall call, boolean onTrial) {
         Request request = call.request;
         if (request.key().isPresent() && !request.idempotent()) {
             return node.control()
@@ -128,9 +127,8 @@
                     .flatMap(view -> view.ownerOf(SimulatedCluster.SERVICE, request.key().get()));
         }
         List<Member> accepting = node.control().acceptingMembers();
-        if (status == CrashStatus.SUSPECT) {
-            return CrashFingerprintRegistry.trialTarget(
-                            request.fingerprint(), node.control().acceptingNodes())
+        if (onTrial) {
+            return CrashTrials.targetOf(request.fingerprint(), node.control().acceptingNodes())
                     .flatMap(chosen -> memberOf(chosen, accepting));
         }
         List<Candidate> candidates =
@@ -143,6 +141,12 @@
                 .flatMap(chosen -> memberOf(chosen, accepting));
     }
 
+    /** Returns whether a trial of a blocked request is due and this call has made no attempt. */
+    private boolean mayBeTried(OpenCall call, CrashSuspicion suspicion) {
+        return call.excluded.isEmpty()
+                && suspicion.isTrialDue(node.control().crashPolicy(), loop.now());
+    }
+
     private static Optional<RegisteredMember> memberOf(NodeId chosen, List<Member> members) {
         return members.stream()
                 .filter(member -> member.node().equals(chosen))
--- /dev/null
+++ b/faults/src/test/java/org/dogwoodwood/faults/simulation/CrashingRequestScenarioTests.java
@@ -0,0 +1,131 @@
+package org.dogwoodwood.faults.simulation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.dogwoodwood.faults.simulation.EventLoop.MILLISECOND;
+import static org.dogwoodwood.faults.simulation.EventLoop.SECOND;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.dogwoodwood.core.configuration.PolicyDefinition;
+import org.dogwoodwood.core.model.NodeId;
+import org.dogwoodwood.core.model.Outcome;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against a request that crashes targets without end, and against a popular request that is
+ * refused with it, since it is at work at each crash.
+ */
+class CrashingRequestScenarioTests {
+
+    private static final long POPULAR = 1_234;
+    private static final long CRASHING = 5_678;
+    private static final long TIMEOUT_NANOS = 2 * SECOND;
+    private static final long POPULAR_INTERVAL_NANOS = 10 * MILLISECOND;
+    private static final long CRASHING_INTERVAL_NANOS = 200 * MILLISECOND;
+    private static final long LENGTH_NANOS = 40 * SECOND;
+
+    /** The time from the crash that reaches the limit on, during which retries may go on. */
+    private static final long STABLE_WINDOW_NANOS = 3 * SECOND;
+
+    private static final int MAX_LATE_RETRIES = 3;
+    private static final List<String> NODES = List.of("a1", "b1", "c1", "c2");
+
+    private SimulatedCluster cluster;
+    private long lastNumber = 1_000_000;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void onlyTheCrashingRequestIsStopped(long seed) {
+        start(seed);
+        long startNanos = cluster.loop().now();
+        sendBoth(LENGTH_NANOS);
+
+        assertFewLateRetries(PolicyDefinition.DEFAULT_CRASH_LIMIT, NODES);
+        assertPopularIsServed(startNanos);
+    }
+
+    /** Without gossip from a data centre, its node knows only the crashes of its own target. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void eachSideOfAPartitionStopsTheCrashingRequest(long seed) {
+        start(seed);
+        cluster.network().setIsolated("a", true);
+        runFor(5 * SECOND);
+        long startNanos = cluster.loop().now();
+        sendBoth(LENGTH_NANOS);
+
+        assertFewLateRetries(PolicyDefinition.DEFAULT_CRASH_LIMIT, List.of("a1"));
+        assertFewLateRetries(PolicyDefinition.DEFAULT_CRASH_LIMIT, List.of("b1", "c1", "c2"));
+        assertPopularIsServed(startNanos);
+    }
+
+    private void start(long seed) {
+        cluster = SimulatedCluster.create(seed, new Policies());
+        cluster.startNode("a1", "a");
+        cluster.startNode("b1", "b");
+        cluster.startNode("c1", "c");
+        cluster.startNode("c2", "c");
+        runFor(5 * SECOND);
+        cluster.targets().forEach(target -> target.crashOn(CRASHING));
+    }
+
+    /** Sends both requests in turn through all nodes. */
+    private void sendBoth(long durationNanos) {
+        long sends = durationNanos / POPULAR_INTERVAL_NANOS;
+        long everyNth = CRASHING_INTERVAL_NANOS / POPULAR_INTERVAL_NANOS;
+        for (long i = 0; i < sends; i++) {
+            String node = NODES.get((int) (i % NODES.size()));
+            send(node, POPULAR);
+            if (i % everyNth == 0) {
+                send(NODES.get((int) (i / everyNth % NODES.size())), CRASHING);
+            }
+            runFor(POPULAR_INTERVAL_NANOS);
+        }
+        runFor(TIMEOUT_NANOS);
+    }
+
+    private void assertFewLateRetries(int crashLimit, List<String> nodes) {
+        List<Event.ExecutionStarted> runs =
+                cluster.journal()
+                        .of(Event.ExecutionStarted.class)
+                        .filter(run -> run.request().fingerprint() == CRASHING)
+                        .filter(run -> nodes.contains(run.node().value()))
+                        .toList();
+        assertThat(runs).hasSizeGreaterThanOrEqualTo(crashLimit);
+        long limitNanos = runs.get(crashLimit - 1).atNanos() + STABLE_WINDOW_NANOS;
+        assertThat(runs.stream().filter(run -> run.atNanos() > limitNanos).count())
+                .as("late retries of %d runs", runs.size())
+                .isLessThanOrEqualTo(MAX_LATE_RETRIES);
+    }
+
+    /** Most of the time no target is down, so most popular requests must be answered. */
+    private void assertPopularIsServed(long startNanos) {
+        Set<Long> popular =
+                cluster.journal()
+                        .of(Event.RequestSubmitted.class)
+                        .filter(sent -> sent.atNanos() >= startNanos)
+                        .filter(sent -> sent.request().fingerprint() == POPULAR)
+                        .map(sent -> sent.request().number())
+                        .collect(Collectors.toSet());
+        long answered =
+                cluster.journal()
+                        .of(Event.ResponseReceived.class)
+                        .filter(response -> popular.contains(response.request()))
+                        .filter(response -> response.outcome() == Outcome.ANSWERED)
+                        .count();
+        assertThat(answered).isGreaterThan(popular.size() * 3L / 4);
+    }
+
+    private void send(String node, long fingerprint) {
+        Request request =
+                new Request(++lastNumber, true, Optional.empty(), fingerprint, TIMEOUT_NANOS);
+        cluster.callers().submit(request, cluster.node(NodeId.of(node)).orElseThrow());
+    }
+
+    private void runFor(long nanos) {
+        cluster.loop().runUntil(cluster.loop().now() + nanos);
+    }
+}
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlPlane.java
@@ -49,11 +49,18 @@
     void reportCrash(Set<Long> fingerprints);
 
     /**
-     * Reports suspect requests that the target ran to their end; may be called on any thread.
+     * Reports a request that was on trial when the target crashed; may be called on any thread.
+     *
+     * @param fingerprint the fingerprint of the request
+     */
+    void reportTrialCrash(long fingerprint);
+
+    /**
+     * Reports suspect requests that a target answered; may be called on any thread.
      *
      * @param fingerprints the fingerprints of the requests
      */
-    default void reportCleared(Set<Long> fingerprints) {}
+    void reportCleared(Set<Long> fingerprints);
 
     /**
      * Returns the free capacity of services by data centre, which nodes exchange; empty if this
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -256,9 +256,17 @@
         disseminate(crashEvidence.onCrash(fingerprints, now), now);
     }
 
+    void reportTrialCrash(long fingerprint) {
+        long now = System.nanoTime();
+        disseminate(crashEvidence.onTrialCrash(fingerprint, now), now);
+    }
+
     void reportCleared(Set<Long> fingerprints) {
         long now = System.nanoTime();
-        disseminate(crashEvidence.onCleared(fingerprints, now), now);
+        List<CrashReport> reports = crashEvidence.onCleared(fingerprints, now);
+        if (!reports.isEmpty()) {
+            disseminate(reports, now);
+        }
     }
 
     JsonObject orderDataCentre(String dataCentre, JsonObject body) {
--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -207,6 +207,15 @@
                 });
     }
 
+    @Override
+    public void reportTrialCrash(long fingerprint) {
+        onControlThread(
+                () -> {
+                    state.reportTrialCrash(fingerprint);
+                    return Future.succeededFuture();
+                });
+    }
+
     @Override
     public void reportCleared(Set<Long> fingerprints) {
         Set<Long> copy = Set.copyOf(fingerprints);
--- a/node/src/main/java/org/dogwoodwood/node/control/RegistryCrashEvidence.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/RegistryCrashEvidence.java
@@ -1,13 +1,16 @@
 package org.dogwoodwood.node.control;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.health.CrashFingerprintRegistry;
+import org.dogwoodwood.core.health.CrashKind;
 import org.dogwoodwood.core.health.CrashRecord;
-import org.dogwoodwood.core.health.CrashStatus;
+import org.dogwoodwood.core.health.CrashSuspicion;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.model.NodeId;
 
@@ -27,7 +30,7 @@
     }
 
     /**
-     * Returns evidence with the default policy.
+     * Returns evidence that is kept as the default policy says.
      *
      * @param node this node
      * @param incarnation its incarnation, from which target incarnations are counted up per crash
@@ -37,19 +40,26 @@
                 node,
                 incarnation,
                 CrashFingerprintRegistry.create(
-                        PolicyDefinition.DEFAULT_CRASH_LIMIT,
                         TimeUnit.SECONDS.toNanos(PolicyDefinition.DEFAULT_CRASH_HOLD_SECONDS)));
     }
 
     @Override
     public List<CrashReport> onCrash(Set<Long> fingerprints, long nowNanos) {
         targetIncarnation++;
-        return recordReports(CrashReport.Kind.CRASHED, fingerprints, nowNanos);
+        return recordReports(CrashKind.CRASHED, fingerprints, nowNanos);
+    }
+
+    @Override
+    public List<CrashReport> onTrialCrash(long fingerprint, long nowNanos) {
+        targetIncarnation++;
+        return recordReports(CrashKind.TRIAL_CRASHED, Set.of(fingerprint), nowNanos);
     }
 
     @Override
     public List<CrashReport> onCleared(Set<Long> fingerprints, long nowNanos) {
-        return recordReports(CrashReport.Kind.CLEARED, fingerprints, nowNanos);
+        Set<Long> suspect = new HashSet<>(fingerprints);
+        suspect.removeIf(fingerprint -> registry.suspicion(fingerprint, nowNanos).isEmpty());
+        return recordReports(CrashKind.CLEARED, suspect, nowNanos);
     }
 
     @Override
@@ -58,17 +68,16 @@
     }
 
     @Override
-    public Set<Long> blockedFingerprints(long nowNanos) {
-        return registry.fingerprints(CrashStatus.BLOCKED, nowNanos);
+    public void setHoldNanos(long holdNanos) {
+        registry.setHoldNanos(holdNanos);
     }
 
     @Override
-    public Set<Long> suspectFingerprints(long nowNanos) {
-        return registry.fingerprints(CrashStatus.SUSPECT, nowNanos);
+    public Map<Long, CrashSuspicion> suspicions(long nowNanos) {
+        return registry.suspicions(nowNanos);
     }
 
-    private List<CrashReport> recordReports(
-            CrashReport.Kind kind, Set<Long> fingerprints, long nowNanos) {
+    private List<CrashReport> recordReports(CrashKind kind, Set<Long> fingerprints, long nowNanos) {
         sequence++;
         List<CrashReport> reports = new ArrayList<>();
         for (long fingerprint : fingerprints) {
@@ -79,13 +88,9 @@
     }
 
     private static CrashRecord toRecord(CrashReport report) {
-        CrashRecord.Kind kind =
-                report.kind() == CrashReport.Kind.CRASHED
-                        ? CrashRecord.Kind.CRASHED
-                        : CrashRecord.Kind.CLEARED;
         return new CrashRecord(
                 report.fingerprint(),
-                kind,
+                report.kind(),
                 report.guard(),
                 report.targetIncarnation(),
                 report.sequence(),
--- a/node/src/main/java/org/dogwoodwood/node/control/RoutingTableBuilder.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/RoutingTableBuilder.java
@@ -51,8 +51,7 @@
                 targets,
                 requireLeases ? table.ownLeaseExpiryNanos(nowNanos) : Long.MAX_VALUE,
                 orders.isOut(table.self().address().dataCentre()),
-                crashes.blockedFingerprints(nowNanos),
-                crashes.suspectFingerprints(nowNanos));
+                crashes.suspicions(nowNanos));
     }
 
     private boolean areTargetsOutdated(long nowNanos) {
--- a/node/src/main/java/org/dogwoodwood/node/control/RoutingTablePublisher.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/RoutingTablePublisher.java
@@ -2,9 +2,11 @@
 
 import io.vertx.core.Vertx;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dogwoodwood.core.configuration.Configuration;
+import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.routing.RoutingTable;
 
 /** Builds the routing table after changes, at a limited rate; used on the control thread. */
@@ -77,11 +79,22 @@
     /** Publishes the table at once if it has changed. */
     void publish() {
         long now = System.nanoTime();
-        RoutingTable next = builder.build(configuration.get(), crashEvidence, now);
+        Configuration current = configuration.get();
+        crashEvidence.setHoldNanos(longestCrashHoldNanos(current));
+        RoutingTable next = builder.build(current, crashEvidence, now);
         lastBuildNanos = System.nanoTime() - now;
         if (!next.equals(published)) {
             published = next;
             receiver.accept(next);
         }
     }
+
+    private static long longestCrashHoldNanos(Configuration configuration) {
+        int seconds =
+                configuration.policies().values().stream()
+                        .mapToInt(PolicyDefinition::crashHoldSeconds)
+                        .max()
+                        .orElse(PolicyDefinition.DEFAULT_CRASH_HOLD_SECONDS);
+        return TimeUnit.SECONDS.toNanos(seconds);
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/AdmissionHolder.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/AdmissionHolder.java
@@ -9,7 +9,6 @@
 import org.dogwoodwood.core.configuration.CallClassDefinition;
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
-import org.dogwoodwood.core.configuration.ServiceDefinition;
 import org.dogwoodwood.core.routing.RoutingTable;
 import org.dogwoodwood.node.metrics.NodeMetrics;
 
@@ -73,7 +72,7 @@
     }
 
     private void applyConfiguration() {
-        PolicyDefinition nextPolicy = policyOf(configuration, service);
+        PolicyDefinition nextPolicy = configuration.policyOf(service);
         Map<String, CallClassDefinition> nextClasses = configuration.callClasses();
         if (!nextPolicy.equals(policy) || !nextClasses.equals(classes)) {
             policy = nextPolicy;
@@ -93,11 +92,4 @@
             worstAccountsServedPerMille = Math.round(PER_MILLE * share);
         }
     }
-
-    private static PolicyDefinition policyOf(Configuration configuration, String service) {
-        ServiceDefinition definition = configuration.services().get(service);
-        String name = definition == null ? "default" : definition.policy();
-        PolicyDefinition policy = configuration.policies().get(name);
-        return policy == null ? PolicyDefinition.withDefaults(name) : policy;
-    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.dogwoodwood.codec.wire.CallFrame;
 import org.dogwoodwood.codec.wire.ResumeFrame;
@@ -58,7 +57,7 @@
     private final SpeedWatch speedWatch;
     private final WaitingCalls waitingCalls;
     private final LoadReporter loadReporter;
-    private final SuspectRequests suspectRequests = new SuspectRequests();
+    private final CrashWatch crashWatch;
     private final NodeMetrics metrics;
     private final AttemptLog attemptLog;
     private final Map<AttemptId, GuardedCall> calls = new HashMap<>();
@@ -80,7 +79,8 @@
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.identity = Objects.requireNonNull(identity, "identity");
         this.control = Objects.requireNonNull(control, "control");
-        this.startChecks = new StartChecks(control::routingTable);
+        this.crashWatch = new CrashWatch(identity.node(), control);
+        this.startChecks = new StartChecks(control::routingTable, crashWatch);
         this.serviceSettings = new ServiceSettings(control::routingTable);
         this.keyedCalls = new KeyedCalls(keys);
         this.protocol = Objects.requireNonNull(protocol, "protocol");
@@ -285,6 +285,7 @@
             return;
         }
         long remainingMillis = (call.description().deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
+        crashWatch.onStart(call.description());
         metrics.onTargetCall();
         TargetExchange exchange =
                 monitor.client()
@@ -326,9 +327,7 @@
                         result.isFailure(),
                         nowNanos);
         result.load().ifPresent(load -> onTargetLoad(load, nowNanos));
-        if (result.kind() == TargetResult.Kind.BROKEN) {
-            suspectRequests.add(call.description().fingerprint(), nowNanos);
-        }
+        crashWatch.onResult(call.description(), result.kind(), nowNanos);
         end(call, result.finished());
         monitor.onCallEnded(result.kind());
         waitingCalls.startQueued(nowNanos);
@@ -394,18 +393,8 @@
 
     /** Returns the target as it is announced to peers, or empty if the node has none. */
     private Optional<MemberTarget> announcedTarget() {
-        return monitor.announcement().map(this::announcedTarget);
-    }
-
-    private MemberTarget announcedTarget(TargetAnnouncement target) {
-        MemberTarget announced =
-                new MemberTarget(
-                        target.service(),
-                        target.slots(),
-                        target.connections(),
-                        monitor.state(),
-                        monitor.stateVersion());
-        return leaving ? announced.withState(TargetState.LEAVING) : announced;
+        Optional<MemberTarget> target = monitor.memberTarget();
+        return leaving ? target.map(known -> known.withState(TargetState.LEAVING)) : target;
     }
 
     private final class WaitingListener implements WaitingCalls.Listener {
@@ -448,10 +437,7 @@
 
         @Override
         public void onCrash() {
-            Set<Long> fingerprints = suspectRequests.take(System.nanoTime());
-            if (!fingerprints.isEmpty()) {
-                control.reportCrash(fingerprints);
-            }
+            crashWatch.onCrash(System.nanoTime());
         }
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/StartChecks.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/StartChecks.java
@@ -11,9 +11,11 @@
 final class StartChecks {
 
     private final Supplier<RoutingTable> routing;
+    private final CrashWatch crashWatch;
 
-    StartChecks(Supplier<RoutingTable> routing) {
+    StartChecks(Supplier<RoutingTable> routing, CrashWatch crashWatch) {
         this.routing = routing;
+        this.crashWatch = crashWatch;
     }
 
     /**
@@ -38,10 +40,7 @@
         if (isLapsed(table.ownLeaseExpiryNanos(), nowNanos)) {
             return Optional.of(ErrorCode.LEASE_LAPSED);
         }
-        if (table.blockedFingerprints().contains(call.fingerprint())) {
-            return Optional.of(ErrorCode.CRASHING_REQUEST);
-        }
-        return Optional.empty();
+        return crashWatch.refusal(call, table, nowNanos);
     }
 
     // Long.MAX_VALUE means "no peers" and Long.MIN_VALUE "nothing known yet"; neither is a time.
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
@@ -4,6 +4,8 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.dogwoodwood.core.membership.MemberTarget;
+import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.settings.Endpoint;
 import org.dogwoodwood.node.settings.TargetSettings;
 
@@ -68,6 +70,11 @@
                 Optional.empty());
     }
 
+    /** Returns the entry of the target in the membership. */
+    MemberTarget toMemberTarget(TargetState state, int stateVersion) {
+        return new MemberTarget(service, slots, connections, state, stateVersion);
+    }
+
     /** Returns the announcement of a target that is configured in the settings, as cold. */
     public static TargetAnnouncement of(TargetSettings target) {
         return new TargetAnnouncement(
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -8,6 +8,7 @@
 import java.util.function.UnaryOperator;
 import org.dogwoodwood.core.admission.TargetCapacity;
 import org.dogwoodwood.core.measurement.MeasurementBudget;
+import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.model.TargetState;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.logging.LogEvent;
@@ -228,9 +229,9 @@
         return state;
     }
 
-    /** Returns a number that increases with each change of the state. */
-    int stateVersion() {
-        return stateVersion;
+    /** Returns the target for the membership, or empty before it has announced itself. */
+    Optional<MemberTarget> memberTarget() {
+        return announcement().map(known -> known.toMemberTarget(state, stateVersion));
     }
 
     int slots() {
--- a/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.dogwoodwood.core.balancing.CallNeeds;
@@ -125,6 +126,13 @@
         return control.routingTable();
     }
 
+    /** Reports that a target answered a request, which clears it if it is suspect. */
+    void onAnswered(long fingerprint) {
+        if (routingTable().suspicions().containsKey(fingerprint)) {
+            control.reportCleared(Set.of(fingerprint));
+        }
+    }
+
     EventLog log() {
         return log;
     }
@@ -151,12 +159,7 @@
     }
 
     private ServiceState stateOf(ServiceDefinition service) {
-        PolicyDefinition policy =
-                routingTable()
-                        .configuration()
-                        .policies()
-                        .getOrDefault(
-                                service.policy(), PolicyDefinition.withDefaults(service.policy()));
+        PolicyDefinition policy = routingTable().configuration().policyOf(service.name());
         ServiceState state = services.get(service.name());
         if (state == null || !state.tryUpdate(policy)) {
             state =
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -144,6 +144,9 @@
         if (state.isInRemovedDataCentresOnly()) {
             return ErrorCode.DATA_CENTRE_OUT;
         }
+        if (state.isBlocked(fingerprint)) {
+            return ErrorCode.CRASHING_REQUEST;
+        }
         if (!reached.isEmpty()) {
             return ErrorCode.TARGET_REFUSED;
         }
@@ -162,6 +165,10 @@
                         : state.findTarget(owner.get());
             }
         }
+        if (state.isBlocked(fingerprint)) {
+            return state.trialTarget(fingerprint, nowNanos)
+                    .filter(target -> !excluded.contains(target.node()));
+        }
         Optional<RouteTarget> candidate =
                 state.choose(excludedNodes, callNeeds(nowNanos), nowNanos);
         // When all targets have refused, the caller gets the reason from the answer of the best
@@ -238,6 +245,7 @@
             return;
         }
         FinishedCall finished = answer.finished();
+        finished.answer().ifPresent(any -> ingress.onAnswered(fingerprint));
         long latencyNanos = nowNanos - attempt.sentNanos();
         NodeId node = attempt.target().node();
         state.onEnded(node, attemptResultOf(finished), latencyNanos, nowNanos);
@@ -302,7 +310,8 @@
     }
 
     private boolean mayReachAnotherTarget() {
-        return targetsReached + openAttempts.size() < request.parameters().maxAttempts();
+        return targetsReached + openAttempts.size() < request.parameters().maxAttempts()
+                && !state.isBlocked(fingerprint);
     }
 
     private boolean hasUnreachedTarget(long nowNanos) {
@@ -438,12 +447,4 @@
             case UNKNOWN -> AttemptResult.LOST;
         };
     }
-
-    private record OpenAttempt(
-            AttemptId id,
-            RouteTarget target,
-            long sentNanos,
-            boolean mayQueue,
-            long expectedWaitNanos,
-            boolean hedge) {}
 }
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -16,6 +16,7 @@
 import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.balancing.ExpectedCompletionStrategy;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
+import org.dogwoodwood.core.health.CrashTrials;
 import org.dogwoodwood.core.health.OutlierEjection;
 import org.dogwoodwood.core.model.FreeCapacity;
 import org.dogwoodwood.core.model.LoadReport;
@@ -216,6 +217,19 @@
                 .flatMap(this::findTarget);
     }
 
+    /** Returns whether a request may run on trial only, since it may crash targets. */
+    boolean isBlocked(long fingerprint) {
+        return table.blocked(service, fingerprint).isPresent();
+    }
+
+    /** Returns the target at which a blocked request may be tried now, or empty if none is due. */
+    Optional<RouteTarget> trialTarget(long fingerprint, long nowNanos) {
+        return table.blocked(service, fingerprint)
+                .filter(found -> found.isTrialDue(table.crashPolicy(service), nowNanos))
+                .flatMap(found -> CrashTrials.targetOf(fingerprint, table.acceptingNodes(service)))
+                .flatMap(this::findTarget);
+    }
+
     Optional<RouteTarget> findTarget(NodeId node) {
         return Optional.ofNullable(targetByNode.get(node));
     }
--- a/node/src/test/java/org/dogwoodwood/node/control/PeerFaultTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/PeerFaultTests.java
@@ -89,12 +89,17 @@
             eventually(
                     "the request is suspect everywhere",
                     2_000,
-                    () -> cluster.node(4).routingTable().suspectFingerprints().contains(7L));
+                    () -> cluster.node(4).routingTable().suspicions().containsKey(7L));
             cluster.node(2).reportCrash(Set.of(7L));
             eventually(
                     "the request is blocked after the second crash",
                     2_000,
-                    () -> cluster.node(5).routingTable().blockedFingerprints().contains(7L));
+                    () -> isBlocked(cluster.node(5), 7L));
+            cluster.node(3).reportCleared(Set.of(7L));
+            eventually(
+                    "a success at one node clears the request everywhere",
+                    2_000,
+                    () -> cluster.node(4).routingTable().suspicions().isEmpty());
         }
     }
 
@@ -146,6 +151,10 @@
         }
     }
 
+    private static boolean isBlocked(DefaultControlPlane node, long fingerprint) {
+        return node.routingTable().blocked(ControlCluster.SERVICE, fingerprint).isPresent();
+    }
+
     private static boolean hasLease(DefaultControlPlane node) {
         return node.routingTable().ownLeaseExpiryNanos() > System.nanoTime();
     }
--- a/node/src/test/java/org/dogwoodwood/node/guard/AdmissionHolderTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/AdmissionHolderTests.java
@@ -97,7 +97,6 @@
                         Map.of("default", policy)),
                 Map.of(),
                 Long.MAX_VALUE,
-                false,
-                java.util.Set.of());
+                false);
     }
 }
--- a/node/src/test/java/org/dogwoodwood/node/guard/GuardStartChecksTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/GuardStartChecksTests.java
@@ -6,7 +6,6 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.dogwoodwood.core.routing.RouteTarget;
 import org.dogwoodwood.core.routing.RoutingTable;
@@ -108,8 +107,7 @@
                                 table.configuration(),
                                 table.targetsByService(),
                                 leaseExpiryNanos,
-                                out,
-                                Set.of()));
+                                out));
     }
 
     private void assertNotRun(String code) {
--- a/node/src/test/java/org/dogwoodwood/node/ingress/ClientAccountTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/ingress/ClientAccountTests.java
@@ -185,8 +185,7 @@
                         Map.of("open", open),
                         Map.of("guides", guides));
         RoutingTable next =
-                new RoutingTable(
-                        configuration, table.targetsByService(), Long.MAX_VALUE, false, Set.of());
+                new RoutingTable(configuration, table.targetsByService(), Long.MAX_VALUE, false);
         ingress.control().setRoutingTable(next);
         guard.control().setRoutingTable(next);
     }
--- a/node/src/test/java/org/dogwoodwood/node/quota/AccountQuotaTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/quota/AccountQuotaTests.java
@@ -62,8 +62,7 @@
                         Map.of(),
                         accounts);
         RoutingTable withAccounts =
-                new RoutingTable(
-                        configuration, table.targetsByService(), Long.MAX_VALUE, false, Set.of());
+                new RoutingTable(configuration, table.targetsByService(), Long.MAX_VALUE, false);
         nodes.forEach(node -> node.control().setRoutingTable(withAccounts));
         Waiting.until(
                 "an account within its limit is served",
--- a/node/src/test/java/org/dogwoodwood/node/support/StubControlPlane.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/StubControlPlane.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
@@ -15,6 +16,7 @@
 public final class StubControlPlane implements ControlPlane {
 
     private final List<Set<Long>> crashes = new CopyOnWriteArrayList<>();
+    private final Set<Long> cleared = ConcurrentHashMap.newKeySet();
     private final List<TargetState> announcements = new CopyOnWriteArrayList<>();
     private volatile RoutingTable table = RoutingTable.empty();
     private volatile boolean leaving;
@@ -57,6 +59,16 @@
         crashes.add(fingerprints);
     }
 
+    @Override
+    public void reportTrialCrash(long fingerprint) {
+        crashes.add(Set.of(fingerprint));
+    }
+
+    @Override
+    public void reportCleared(Set<Long> fingerprints) {
+        cleared.addAll(fingerprints);
+    }
+
     @Override
     public boolean isReady() {
         return !table.targetsByService().isEmpty();
@@ -86,6 +98,11 @@
         return crashes;
     }
 
+    /** Returns the fingerprints of suspect requests that were reported as answered. */
+    public Set<Long> cleared() {
+        return cleared;
+    }
+
     /** Returns the announced states of the target, in order. */
     public List<TargetState> announcements() {
         return announcements;
--- a/node/src/test/java/org/dogwoodwood/node/support/TestInstallation.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/TestInstallation.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.dogwoodwood.core.configuration.Configuration;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 import org.dogwoodwood.core.configuration.ServiceDefinition;
@@ -114,8 +113,7 @@
                 configuration,
                 RoutingTable.groupByService(List.of(targets)),
                 Long.MAX_VALUE,
-                false,
-                Set.of());
+                false);
     }
 
     public static HttpRequest.Builder request(TestNode node, String path) {
