Record the leave of a target on the log and with a peer before it is acknowledged

Cause: the process alone knew of the leave. The next one took a second heartbeat as proof that the target was there, but heartbeats come late by any time.

Change: a leave, or word of draining, is acknowledged when the log and a peer have it, or one of them if the other does not answer within 0.4 s; with neither after 0.8 s the target gets 503 and asks again. Gossip spreads leaves, and each message to a node carries those of its own targets. The next process uses an older target once it has read the log and heard a peer, and applies a heartbeat that arrived before; covered ones are ignored, however many and late. The second heartbeat counts only if neither source answers for 3 s. A process that counts as gone and goes on sending heartbeats for 10 s is used again, since a late DELETE of an earlier process of its name kept it out for good.

Before: LeftTargetTests.targetStaysOutAfterARestartOfItsNode, 3 of 3 failed, with 52, 54 and 52 late runs.

--- a/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
@@ -13,6 +13,7 @@
 import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.membership.TableDigest;
+import org.dogwoodwood.core.membership.TargetLeave;
 import org.dogwoodwood.core.model.FreeCapacity;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.TargetState;
@@ -20,14 +21,14 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Encodes and decodes the payload of GOSSIP and GOSSIP_REPLY (frames 8 and 9), an array of nine
- * elements, and a tenth one if there are estimates of free capacity.
+ * Encodes and decodes the payload of GOSSIP and GOSSIP_REPLY (frames 8 and 9), an array of ten
+ * elements, and another one if there are estimates of free capacity.
  */
 public final class GossipCodec {
 
     private static final int MAX_NAME_BYTES = 255;
     private static final int MAX_ENTRIES = 1_000;
-    private static final int ELEMENTS = 9;
+    private static final int ELEMENTS = 10;
     private static final List<TargetState> TARGET_STATES =
             List.of(
                     TargetState.COLD,
@@ -53,6 +54,7 @@
                     writeList(packer, message.livenessUpdates(), GossipCodec::writeLivenessUpdate);
                     writeList(packer, message.orders(), GossipCodec::writeOrder);
                     writeList(packer, message.crashReports(), GossipCodec::writeCrashReport);
+                    writeList(packer, message.leaves(), GossipCodec::writeLeave);
                     if (hasCapacities) {
                         String own = message.sender().address().dataCentre();
                         writeList(
@@ -86,7 +88,8 @@
                                     readList(unpacker, GossipCodec::readMember),
                                     readList(unpacker, GossipCodec::readLivenessUpdate),
                                     readList(unpacker, GossipCodec::readOrder),
-                                    readList(unpacker, GossipCodec::readCrashReport));
+                                    readList(unpacker, GossipCodec::readCrashReport),
+                                    readList(unpacker, GossipCodec::readLeave));
                     if (elements == ELEMENTS) {
                         return message;
                     }
@@ -243,6 +246,21 @@
                 .orElseThrow(() -> new IllegalArgumentException("Unknown liveness number."));
     }
 
+    private static void writeLeave(MessagePacker packer, TargetLeave leave) throws IOException {
+        packer.packString(leave.node().value());
+        packer.packString(leave.instance());
+        packer.packLong(leave.startedAtMillis());
+        packer.packLong(leave.sequence());
+    }
+
+    private static TargetLeave readLeave(MessageUnpacker unpacker) throws IOException {
+        return new TargetLeave(
+                readNode(unpacker),
+                readName(unpacker),
+                unpacker.unpackLong(),
+                unpacker.unpackLong());
+    }
+
     private static CrashKind readCrashKind(MessageUnpacker unpacker) throws IOException {
         return CrashKind.fromCode(unpacker.unpackInt())
                 .orElseThrow(() -> new IllegalArgumentException("Unknown crash report number."));
--- a/codec/src/main/java/org/dogwoodwood/codec/log/LogRecord.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/log/LogRecord.java
@@ -9,6 +9,7 @@
     @JsonSubTypes.Type(value = AnnouncementRecord.class, name = "ANNOUNCEMENT"),
     @JsonSubTypes.Type(value = LeaveRecord.class, name = "LEAVE"),
     @JsonSubTypes.Type(value = ExpiryRecord.class, name = "EXPIRY"),
+    @JsonSubTypes.Type(value = TargetLeavesRecord.class, name = "TARGET_LEAVES"),
     @JsonSubTypes.Type(value = DataCentreOrderRecord.class, name = "DATA_CENTRE_ORDER"),
     @JsonSubTypes.Type(value = ConfigurationRecord.class, name = "CONFIGURATION"),
     @JsonSubTypes.Type(value = RenewalRecord.class, name = "RENEWAL")
@@ -17,6 +18,7 @@
         permits AnnouncementRecord,
                 LeaveRecord,
                 ExpiryRecord,
+                TargetLeavesRecord,
                 DataCentreOrderRecord,
                 ConfigurationRecord,
                 RenewalRecord {
--- a/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
@@ -23,6 +23,7 @@
 import org.dogwoodwood.core.membership.MembershipTimings;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.membership.TableDigest;
+import org.dogwoodwood.core.membership.TargetLeave;
 import org.dogwoodwood.core.model.FreeCapacity;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.model.TargetState;
@@ -51,7 +52,13 @@
                     List.of(MEMBER),
                     List.of(new LivenessUpdate(NODE, 1_700_000_000_000L, 3, Liveness.DEAD)),
                     List.of(new DataCentreOrder("north", 4, DataCentreOrder.State.OUT, "o")),
-                    List.of(new CrashReport(Long.MIN_VALUE, CrashKind.CLEARED, NODE, 2, 3, 4)));
+                    List.of(new CrashReport(Long.MIN_VALUE, CrashKind.CLEARED, NODE, 2, 3, 4)),
+                    List.of(
+                            new TargetLeave(
+                                    NODE,
+                                    "i-7f3a91c2",
+                                    1_700_000_000_000L,
+                                    TargetLeave.ALL_HEARTBEATS)));
 
     /** Guards against a field that is lost in encoding or decoding. */
     @Test
--- a/core/src/main/java/org/dogwoodwood/core/membership/GossipMessage.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/GossipMessage.java
@@ -16,6 +16,7 @@
  * @param livenessUpdates observed liveness of members
  * @param orders data centre orders
  * @param crashReports observations about requests that may crash targets
+ * @param leaves acknowledged leaves of targets
  * @param capacities estimates of the free capacity of services
  */
 public record GossipMessage(
@@ -28,6 +29,7 @@
         List<LivenessUpdate> livenessUpdates,
         List<DataCentreOrder> orders,
         List<CrashReport> crashReports,
+        List<TargetLeave> leaves,
         List<FreeCapacity> capacities) {
 
     /** Checks that the references are present and copies the lists. */
@@ -38,6 +40,7 @@
         livenessUpdates = List.copyOf(livenessUpdates);
         orders = List.copyOf(orders);
         crashReports = List.copyOf(crashReports);
+        leaves = List.copyOf(leaves);
         capacities = List.copyOf(capacities);
     }
 
@@ -51,7 +54,8 @@
             List<Member> members,
             List<LivenessUpdate> livenessUpdates,
             List<DataCentreOrder> orders,
-            List<CrashReport> crashReports) {
+            List<CrashReport> crashReports,
+            List<TargetLeave> leaves) {
         this(
                 sender,
                 digest,
@@ -62,6 +66,7 @@
                 livenessUpdates,
                 orders,
                 crashReports,
+                leaves,
                 List.of());
     }
 
@@ -77,6 +82,7 @@
                 livenessUpdates,
                 orders,
                 crashReports,
+                leaves,
                 newCapacities);
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
@@ -47,6 +47,7 @@
     private final RemoteUpdates remoteUpdates = RemoteUpdates.create();
     private final UpdateQueue<String> crashQueue = new UpdateQueue<>();
     private final Map<String, TimedReport> crashReports = new HashMap<>();
+    private final TargetLeaves leaves = TargetLeaves.create();
     private List<NodeId> localNodes = List.of();
     private List<NodeId> remoteNodes = List.of();
     private List<NodeId> deadNodes = List.of();
@@ -109,6 +110,11 @@
         return true;
     }
 
+    /** Returns the leaves of targets that messages spread. */
+    public TargetLeaves leaves() {
+        return leaves;
+    }
+
     /** Removes crash reports that were observed before the given time. */
     public void removeCrashReports(long olderThanNanos) {
         crashReports.values().removeIf(report -> report.seenNanos < olderThanNanos);
@@ -178,7 +184,7 @@
 
     /** Composes the request of an exchange with a peer whose data centre is unknown. */
     public GossipMessage request(long nowNanos) {
-        return compose(List.of(), List.of(), takesOf(memberQueue), nowNanos);
+        return compose(Optional.empty(), List.of(), List.of(), takesOf(memberQueue), nowNanos);
     }
 
     /**
@@ -191,7 +197,12 @@
     public GossipMessage request(Member peer, long nowNanos) {
         List<LivenessUpdate> observed =
                 peer.liveness() == Liveness.ALIVE ? List.of() : List.of(peer.livenessUpdate());
-        return compose(List.of(), observed, takesFor(peer.address().dataCentre()), nowNanos);
+        return compose(
+                Optional.of(peer.node()),
+                List.of(),
+                observed,
+                takesFor(peer.address().dataCentre()),
+                nowNanos);
     }
 
     /**
@@ -215,7 +226,12 @@
             }
         }
         String peerDataCentre = request.sender().address().dataCentre();
-        return compose(newer, livenessUpdates, takesFor(peerDataCentre), nowNanos);
+        return compose(
+                Optional.of(request.sender().node()),
+                newer,
+                livenessUpdates,
+                takesFor(peerDataCentre),
+                nowNanos);
     }
 
     /**
@@ -234,6 +250,7 @@
             }
         }
         message.crashReports().forEach(report -> onCrashReport(report, nowNanos));
+        message.leaves().forEach(leave -> leaves.add(leave, nowNanos));
     }
 
     /** Returns what waits to be spread. */
@@ -241,7 +258,8 @@
         if (urgentRounds > 0 || orderQueue.size() + crashQueue.size() > 0) {
             return GossipNews.URGENT;
         }
-        return memberQueue.size() > 0 ? GossipNews.ORDINARY : GossipNews.NONE;
+        boolean ordinary = memberQueue.size() > 0 || leaves.isSpreading();
+        return ordinary ? GossipNews.ORDINARY : GossipNews.NONE;
     }
 
     private int remoteCount(GossipRound kind, int localCount) {
@@ -284,6 +302,7 @@
     }
 
     private GossipMessage compose(
+            Optional<NodeId> addressee,
             List<Member> corrections,
             List<LivenessUpdate> livenessCorrections,
             IntFunction<List<NodeId>> takes,
@@ -299,6 +318,8 @@
                         .flatMap(Optional::stream)
                         .toList();
         sentOrders.forEach(order -> budget.tryReserve(order.encodedBytes()));
+        List<TargetLeave> sentLeaves = leaves.take(addressee, budget.remaining / 2, table.size());
+        sentLeaves.forEach(leave -> budget.tryReserve(leave.encodedBytes()));
         List<CrashReport> reports = takeCrashReports(budget, nowNanos);
         List<Member> members = new ArrayList<>();
         // Reserves half of the remaining bytes for recent updates if a digest shows many
@@ -318,7 +339,8 @@
                 members,
                 livenessUpdates,
                 sentOrders,
-                reports);
+                reports,
+                sentLeaves);
     }
 
     private List<CrashReport> takeCrashReports(ByteBudget budget, long nowNanos) {
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlState.java
@@ -5,7 +5,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
@@ -15,7 +14,6 @@
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.balancing.CapacityTable;
 import org.dogwoodwood.core.configuration.Configuration;
-import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.core.membership.DataCentreOrders;
 import org.dogwoodwood.core.membership.GossipMessage;
@@ -61,6 +59,8 @@
     private final LogReader membershipReader;
     private final RoutingTablePublisher routingTablePublisher;
     private final StartCheck startCheck;
+    private final TargetLeaveRecorder leaveRecorder;
+    private final CrashReports crashReports;
     private List<DataCentreOrder> loggedOrders = List.of();
     private volatile boolean ready;
     private long highestIncarnation;
@@ -103,18 +103,8 @@
                         this::rankOf,
                         this::onConfigurationChanged,
                         events);
-        this.membership =
-                new MembershipManager(
-                        settings,
-                        table,
-                        orders,
-                        strategy,
-                        appender,
-                        this::rankOf,
-                        this::isHeldBySource,
-                        this::onOrdersChanged,
-                        random,
-                        components.keyedCalls());
+        this.leaveRecorder = createLeaveRecorder();
+        this.membership = createMembership(random);
         this.sourceFollower =
                 new SourceFollower(
                         table,
@@ -133,6 +123,8 @@
                         vertx, log, LogStreams.MEMBERSHIP, timings, random, membership, events);
         this.startCheck = new StartCheck(table, exchanger::requestExtraRound);
         this.routingTablePublisher = createPublisher(publisher);
+        this.crashReports =
+                new CrashReports(crashEvidence, strategy, exchanger, routingTablePublisher);
     }
 
     private static Member joining(ControlSettings settings) {
@@ -147,6 +139,32 @@
                 MemberTarget.none());
     }
 
+    private TargetLeaveRecorder createLeaveRecorder() {
+        return new TargetLeaveRecorder(
+                vertx,
+                settings,
+                table,
+                strategy.leaves(),
+                appender,
+                exchanger::exchangeWithContacts,
+                components.leaves());
+    }
+
+    private MembershipManager createMembership(RandomGenerator random) {
+        return new MembershipManager(
+                settings,
+                table,
+                orders,
+                strategy,
+                appender,
+                this::rankOf,
+                this::isHeldBySource,
+                this::onOrdersChanged,
+                leaveRecorder::onRecord,
+                random,
+                components.keyedCalls());
+    }
+
     private GossipExchanger createExchanger(
             PeerTransport transport, CapacityTable capacities, RandomGenerator random) {
         return new GossipExchanger(
@@ -174,13 +192,19 @@
     }
 
     void start() {
-        log.onRestored(membership::onLogRestored);
+        log.onRestored(this::onLogRestored);
+        components.leaves().connect(vertx.getOrCreateContext(), leaveRecorder);
         PreviousProcess.logOnceRead(membership, settings, events);
         configurationReader.start();
         membershipReader.start();
         exchanger.start();
     }
 
+    private void onLogRestored() {
+        membership.onLogRestored();
+        leaveRecorder.onLogRestored();
+    }
+
     Future<Void> stop() {
         exchanger.stop();
         configurationReader.stop();
@@ -251,22 +275,9 @@
         return completion.future();
     }
 
-    void reportCrash(Set<Long> fingerprints) {
-        long now = System.nanoTime();
-        disseminate(crashEvidence.onCrash(fingerprints, now), now);
-    }
-
-    void reportTrialCrash(long fingerprint) {
-        long now = System.nanoTime();
-        disseminate(crashEvidence.onTrialCrash(fingerprint, now), now);
-    }
-
-    void reportCleared(Set<Long> fingerprints) {
-        long now = System.nanoTime();
-        List<CrashReport> reports = crashEvidence.onCleared(fingerprints, now);
-        if (!reports.isEmpty()) {
-            disseminate(reports, now);
-        }
+    /** Returns the reports about requests that may crash targets. */
+    CrashReports crashReports() {
+        return crashReports;
     }
 
     JsonObject orderDataCentre(String dataCentre, JsonObject body) {
@@ -302,6 +313,8 @@
             onOrdersChanged(OrderOrigin.PEER);
         }
         updateReadiness();
+        leaveRecorder.onPeerMessage();
+        leaveRecorder.checkKnown(membershipReader.isCaughtUp(), System.nanoTime());
         if (!message.crashReports().isEmpty()
                 || routingTablePublisher.isOutdated(System.nanoTime())) {
             routingTablePublisher.schedule();
@@ -323,6 +336,7 @@
         }
         assumeLogStateAfterTimeout();
         updateReadiness();
+        leaveRecorder.checkKnown(membershipReader.isCaughtUp(), System.nanoTime());
         routingTablePublisher.schedule();
     }
 
@@ -413,12 +427,6 @@
         }
     }
 
-    private void disseminate(List<CrashReport> reports, long nowNanos) {
-        reports.forEach(report -> strategy.onCrashReport(report, nowNanos));
-        exchanger.requestExtraRound();
-        routingTablePublisher.schedule();
-    }
-
     /**
      * Returns this node's rank for a subject by rendezvous hashing over present members, from 0.
      */
--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -202,7 +202,7 @@
         Set<Long> copy = Set.copyOf(fingerprints);
         onControlThread(
                 () -> {
-                    state.reportCrash(copy);
+                    state.crashReports().onCrash(copy);
                     return Future.succeededFuture();
                 });
     }
@@ -211,7 +211,7 @@
     public void reportTrialCrash(long fingerprint) {
         onControlThread(
                 () -> {
-                    state.reportTrialCrash(fingerprint);
+                    state.crashReports().onTrialCrash(fingerprint);
                     return Future.succeededFuture();
                 });
     }
@@ -221,7 +221,7 @@
         Set<Long> copy = Set.copyOf(fingerprints);
         onControlThread(
                 () -> {
-                    state.reportCleared(copy);
+                    state.crashReports().onCleared(copy);
                     return Future.succeededFuture();
                 });
     }
--- a/node/src/main/java/org/dogwoodwood/node/control/MembershipManager.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/MembershipManager.java
@@ -15,6 +15,7 @@
 import org.dogwoodwood.codec.log.ExpiryRecord;
 import org.dogwoodwood.codec.log.LeaveRecord;
 import org.dogwoodwood.codec.log.LogStreams;
+import org.dogwoodwood.codec.log.TargetLeavesRecord;
 import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.core.membership.DataCentreOrders;
 import org.dogwoodwood.core.membership.GossipStrategy;
@@ -44,6 +45,7 @@
     private final ToIntFunction<String> rankOf;
     private final Predicate<DataCentreOrder> heldBySource;
     private final Consumer<OrderOrigin> orderListener;
+    private final Consumer<TargetLeavesRecord> leavesListener;
     private final RegistrationList registrations = RegistrationList.create();
     private final OwnRegistration ownRegistration;
     private final Map<String, RecordedOrder> recordedOrders = new HashMap<>();
@@ -59,6 +61,7 @@
      * @param rankOf returns this node's rank among present nodes for a subject, from 0
      * @param heldBySource whether the operators' source holds an order, so that the log does not
      * @param orderListener receives the origin of orders that have come into force
+     * @param leavesListener receives the leaves of targets
      */
     MembershipManager(
             ControlSettings settings,
@@ -69,6 +72,7 @@
             ToIntFunction<String> rankOf,
             Predicate<DataCentreOrder> heldBySource,
             Consumer<OrderOrigin> orderListener,
+            Consumer<TargetLeavesRecord> leavesListener,
             RandomGenerator random,
             boolean keyedCalls) {
         this.settings = settings;
@@ -79,6 +83,7 @@
         this.rankOf = rankOf;
         this.heldBySource = heldBySource;
         this.orderListener = orderListener;
+        this.leavesListener = leavesListener;
         this.ownRegistration =
                 new OwnRegistration(
                         settings, table, orders, registrations, appender, random, keyedCalls);
@@ -129,6 +134,9 @@
             onOrderRecord(order.toOrder(), entry.timestampMillis());
         } else {
             registrations.onOtherRecord(entry.offset());
+            if (entry.content() instanceof TargetLeavesRecord leaves) {
+                leavesListener.accept(leaves);
+            }
         }
         entryListeners.forEach(listener -> listener.accept(entry));
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetAnnouncement.java
@@ -70,6 +70,20 @@
                 Optional.empty());
     }
 
+    /** Returns the announcement of the same target as one that accepts no new work. */
+    public TargetAnnouncement asDraining() {
+        return new TargetAnnouncement(
+                service,
+                address,
+                slots,
+                connections,
+                coldSlots,
+                cold,
+                true,
+                instance,
+                startedAtMillis);
+    }
+
     /** Returns the entry of the target in the membership. */
     MemberTarget toMemberTarget(TargetState state, int stateVersion) {
         return new MemberTarget(service, slots, connections, state, stateVersion);
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -47,7 +47,9 @@
     TARGET_ANSWER_FOREIGN(
             312, Severity.WARNING, "An answer came that is not the one to the waiting request."),
     TARGET_UNCONFIRMED(
-            313, Severity.INFO, "The node has just started and awaits a second heartbeat."),
+            313, Severity.INFO, "The node has just started and awaits what it knew of the target."),
+    TARGET_NOT_LEFT(
+            314, Severity.WARNING, "A target that counted as gone goes on sending heartbeats."),
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
