Count the times of a stop from the signal, also while the node starts

Cause: the stop waits for the end of the start, and its times (2.5 s for callers to leave, then calls in flight) counted from there. So start and stop together could exceed the grace time.

Change: StopSchedule counts both times from the signal. A node that has started within them leaves for the rest of the time only.

Before: NodeProcessTests.theTimesOfAStopCountFromTheSignal, 5.54 s where start (3 s) and leave time (2.5 s) would make 5.5 s. After: it passes (3.5 s for the class); StoppingIngressTests and ProcessEndTests pass.

--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -144,21 +144,24 @@
      * @return completes when all ports are closed
      */
     public Future<Void> stop() {
+        return stop(StopSchedule.of(settings.budgets(), System.nanoTime()));
+    }
+
+    /** Stops as {@link #stop()} does, within the times of a schedule. */
+    Future<Void> stop(StopSchedule schedule) {
         leaving = true;
         log.write(LogEvent.NODE_LEAVING, "node", identity.node());
         log.write(LogEvent.TRAFFIC_TOTALS, metrics.totalFields());
-        int leaveMillis = settings.budgets().leaveMillis();
-        long limitMillis = leaveMillis + settings.budgets().stopSeconds() * 1_000L;
-        long untilNanos = System.nanoTime() + limitMillis * 1_000_000L;
         // Starts before the announcement, so that a slow announcement does not extend this period.
+        long leaveMillis = schedule.leaveMillis(System.nanoTime());
         delay(leaveMillis)
-                .onSuccess(ignored -> loop.run(() -> refuseUnfinishableRequests(untilNanos)));
+                .onSuccess(ignored -> loop.run(() -> refuseUnfinishableRequests(schedule)));
         return loop.run(this::startKeyHandover)
                 .compose(ignored -> control.announceLeaving())
                 .recover(failure -> Future.succeededFuture())
                 .compose(ignored -> loop.run(this::drainTraffic))
                 .compose(ignored -> delay(leaveMillis))
-                .compose(ignored -> awaitIdle(untilNanos))
+                .compose(ignored -> awaitIdle(schedule.untilNanos()))
                 .compose(ignored -> loop.run(this::awaitHandover))
                 .compose(ignored -> closeAll());
     }
@@ -380,8 +383,8 @@
 
     // Callers have had time to switch to other nodes; from now on, only requests whose deadline
     // lies before the end of the stop are accepted.
-    private Future<Void> refuseUnfinishableRequests(long untilNanos) {
-        ingressServer.refuseDeadlinesAfter(untilNanos - FINAL_WRITE_NANOS);
+    private Future<Void> refuseUnfinishableRequests(StopSchedule schedule) {
+        ingressServer.refuseDeadlinesAfter(schedule.untilNanos() - FINAL_WRITE_NANOS);
         return Future.succeededFuture();
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
+++ b/node/src/main/java/org/dogwoodwood/node/NodeProcess.java
@@ -93,7 +93,7 @@
                         () -> {
                             stopping.set(true);
                             if (!end.hasEndedLoop()) {
-                                stop(node, started, log, stopSeconds(settings));
+                                stop(node, started, log, settings);
                             }
                             end.logCause();
                         }));
@@ -140,7 +140,9 @@
      * has no calls in flight.
      */
     private static void stop(
-            Node node, CompletableFuture<Void> started, EventLog log, int limitSeconds) {
+            Node node, CompletableFuture<Void> started, EventLog log, NodeSettings settings) {
+        // The grace time runs while the node still starts.
+        StopSchedule schedule = StopSchedule.of(settings.budgets(), System.nanoTime());
         node.ports().stopWaiting();
         try {
             started.get(START_SECONDS, TimeUnit.SECONDS);
@@ -150,10 +152,10 @@
             return;
         }
         try {
-            node.stop()
+            node.stop(schedule)
                     .toCompletionStage()
                     .toCompletableFuture()
-                    .get(limitSeconds, TimeUnit.SECONDS);
+                    .get(stopSeconds(settings), TimeUnit.SECONDS);
         } catch (ExecutionException
                 | TimeoutException
                 | InterruptedException
--- a/node/src/test/java/org/dogwoodwood/node/NodeProcessTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/NodeProcessTests.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.node.logging.EventLog;
@@ -30,6 +31,8 @@
     private static final String ADDRESS = "127.0.0.1";
     private static final int CONNECT_MILLIS = 500;
     private static final int JOIN_MILLIS = 15_000;
+    private static final int START_MILLIS = 3_000;
+    private static final int LEAVE_MILLIS = 2_500;
 
     private final Vertx vertx = Vertx.vertx();
 
@@ -70,7 +73,43 @@
         assertThat(isOpen(callers)).as("the node has stopped").isFalse();
     }
 
+    /**
+     * Guards against a process that is killed at the end of its grace time, since it was told to
+     * end while it started and the time of its stop counted from the end of the start.
+     */
+    @Test
+    void theTimesOfAStopCountFromTheSignal() throws Exception {
+        Endpoint callers = freeEndpoint();
+        NodeSettings settings = settings(callers, new Budgets(20, 0.01, 400, 1, LEAVE_MILLIS));
+        StubControlPlane control = new StubControlPlane();
+        control.setStart(vertx.timer(START_MILLIS, TimeUnit.MILLISECONDS).mapEmpty());
+        Node node =
+                Node.create(
+                        vertx, settings, 1, NodeComponents.of(any -> control), EventLog.create());
+        AtomicReference<Thread> handler = new AtomicReference<>();
+        long signalNanos = System.nanoTime();
+        NodeProcess.start(
+                vertx,
+                node,
+                settings,
+                EventLog.create(),
+                ProcessEnd.create(EventLog.create(), status -> {}),
+                thread -> {
+                    handler.set(thread);
+                    thread.start();
+                });
+
+        handler.get().join(JOIN_MILLIS);
+        assertThat(handler.get().isAlive()).isFalse();
+        assertThat(System.nanoTime() - signalNanos)
+                .isLessThan(TimeUnit.MILLISECONDS.toNanos(START_MILLIS + LEAVE_MILLIS));
+    }
+
     private static NodeSettings settings(Endpoint callers) {
+        return settings(callers, new Budgets(20, 0.01, 400, 1));
+    }
+
+    private static NodeSettings settings(Endpoint callers, Budgets budgets) {
         return new NodeSettings(
                 NodeId.of("node"),
                 "north",
@@ -82,7 +121,7 @@
                 Optional.empty(),
                 List.of(),
                 Optional.empty(),
-                new Budgets(20, 0.01, 400, 1));
+                budgets);
     }
 
     private static boolean isOpen(Endpoint address) {
--- a/node/src/test/java/org/dogwoodwood/node/support/StubControlPlane.java
+++ b/node/src/test/java/org/dogwoodwood/node/support/StubControlPlane.java
@@ -19,12 +19,18 @@
     private final Set<Long> cleared = ConcurrentHashMap.newKeySet();
     private final List<TargetState> announcements = new CopyOnWriteArrayList<>();
     private volatile RoutingTable table = RoutingTable.empty();
+    private volatile Future<Void> start = Future.succeededFuture();
     private volatile boolean leaving;
     private volatile LoopBlock block = LoopBlock.none();
 
     @Override
     public Future<Void> start() {
-        return Future.succeededFuture();
+        return start;
+    }
+
+    /** Sets what the start of this control plane waits for. */
+    public void setStart(Future<Void> future) {
+        start = future;
     }
 
     @Override
