--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -329,7 +329,8 @@
             return;
         }
         OptionalLong delayNanos = state.hedges().delayNanos();
-        if (state.reportsSpeed(currentTarget())) {
+        NodeId current = openAttempts.values().iterator().next().target().node();
+        if (state.reportsSpeed(current)) {
             hedgeAfter(SLOWNESS_CHECK_NANOS);
         } else if (delayNanos.isPresent()) {
             hedgeAfter(delayNanos.getAsLong());
@@ -379,10 +380,6 @@
         }
     }
 
-    private NodeId currentTarget() {
-        return openAttempts.values().iterator().next().target().node();
-    }
-
     // Rounds up, so that the timer does not fire before the deadline, while the caller still waits.
     private static long ceilMillis(long nanos) {
         return (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
