--- a/core/src/main/java/org/dogwoodwood/core/health/CrashPolicy.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashPolicy.java
@@ -2,7 +2,6 @@
 
 import static org.dogwoodwood.core.Preconditions.checkArgument;
 
-import java.util.concurrent.TimeUnit;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
 
 /**
@@ -15,6 +14,8 @@
  */
 public record CrashPolicy(int crashLimit, long holdNanos) {
 
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
     /** Checks the ranges. */
     public CrashPolicy {
         checkArgument(crashLimit > 0, "The crash limit must be at least 1.");
@@ -23,7 +24,6 @@
 
     /** Returns the part of a service's policy that concerns crashes. */
     public static CrashPolicy of(PolicyDefinition policy) {
-        return new CrashPolicy(
-                policy.crashLimit(), TimeUnit.SECONDS.toNanos(policy.crashHoldSeconds()));
+        return new CrashPolicy(policy.crashLimit(), policy.crashHoldSeconds() * NANOS_PER_SECOND);
     }
 }
