Let leaves of targets expire everywhere

Found while reading: nodes forgot a leave by the time at which each learned it, so they taught each other expired ones again, and which one of many was dropped depended on the order of learning. Gossip carries the age of a leave now, and the earliest processes are dropped first at all nodes.

--- a/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
+++ b/codec/src/main/java/org/dogwoodwood/codec/gossip/GossipCodec.java
@@ -7,6 +7,7 @@
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.DataCentreOrder;
 import org.dogwoodwood.core.membership.GossipMessage;
+import org.dogwoodwood.core.membership.KnownLeave;
 import org.dogwoodwood.core.membership.Liveness;
 import org.dogwoodwood.core.membership.LivenessUpdate;
 import org.dogwoodwood.core.membership.Member;
@@ -246,19 +247,23 @@
                 .orElseThrow(() -> new IllegalArgumentException("Unknown liveness number."));
     }
 
-    private static void writeLeave(MessagePacker packer, TargetLeave leave) throws IOException {
+    private static void writeLeave(MessagePacker packer, KnownLeave known) throws IOException {
+        TargetLeave leave = known.leave();
         packer.packString(leave.node().value());
         packer.packString(leave.instance());
         packer.packLong(leave.startedAtMillis());
         packer.packLong(leave.sequence());
+        packer.packLong(known.ageMillis());
     }
 
-    private static TargetLeave readLeave(MessageUnpacker unpacker) throws IOException {
-        return new TargetLeave(
-                readNode(unpacker),
-                readName(unpacker),
-                unpacker.unpackLong(),
-                unpacker.unpackLong());
+    private static KnownLeave readLeave(MessageUnpacker unpacker) throws IOException {
+        TargetLeave leave =
+                new TargetLeave(
+                        readNode(unpacker),
+                        readName(unpacker),
+                        unpacker.unpackLong(),
+                        unpacker.unpackLong());
+        return new KnownLeave(leave, unpacker.unpackLong());
     }
 
     private static CrashKind readCrashKind(MessageUnpacker unpacker) throws IOException {
--- a/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
+++ b/codec/src/test/java/org/dogwoodwood/codec/gossip/GossipCodecTests.java
@@ -15,6 +15,7 @@
 import org.dogwoodwood.core.membership.DataCentreOrders;
 import org.dogwoodwood.core.membership.GossipMessage;
 import org.dogwoodwood.core.membership.GossipStrategy;
+import org.dogwoodwood.core.membership.KnownLeave;
 import org.dogwoodwood.core.membership.Liveness;
 import org.dogwoodwood.core.membership.LivenessUpdate;
 import org.dogwoodwood.core.membership.Member;
@@ -54,11 +55,13 @@
                     List.of(new DataCentreOrder("north", 4, DataCentreOrder.State.OUT, "o")),
                     List.of(new CrashReport(Long.MIN_VALUE, CrashKind.CLEARED, NODE, 2, 3, 4)),
                     List.of(
-                            new TargetLeave(
-                                    NODE,
-                                    "i-7f3a91c2",
-                                    1_700_000_000_000L,
-                                    TargetLeave.ALL_HEARTBEATS)));
+                            new KnownLeave(
+                                    new TargetLeave(
+                                            NODE,
+                                            "i-7f3a91c2",
+                                            1_700_000_000_000L,
+                                            TargetLeave.ALL_HEARTBEATS),
+                                    250)));
 
     /** Guards against a field that is lost in encoding or decoding. */
     @Test
--- a/core/src/main/java/org/dogwoodwood/core/membership/GossipMessage.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/GossipMessage.java
@@ -29,7 +29,7 @@
         List<LivenessUpdate> livenessUpdates,
         List<DataCentreOrder> orders,
         List<CrashReport> crashReports,
-        List<TargetLeave> leaves,
+        List<KnownLeave> leaves,
         List<FreeCapacity> capacities) {
 
     /** Checks that the references are present and copies the lists. */
@@ -55,7 +55,7 @@
             List<LivenessUpdate> livenessUpdates,
             List<DataCentreOrder> orders,
             List<CrashReport> crashReports,
-            List<TargetLeave> leaves) {
+            List<KnownLeave> leaves) {
         this(
                 sender,
                 digest,
--- a/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
@@ -318,8 +318,9 @@
                         .flatMap(Optional::stream)
                         .toList();
         sentOrders.forEach(order -> budget.tryReserve(order.encodedBytes()));
-        List<TargetLeave> sentLeaves = leaves.take(addressee, budget.remaining / 2, table.size());
-        sentLeaves.forEach(leave -> budget.tryReserve(leave.encodedBytes()));
+        List<KnownLeave> sentLeaves =
+                leaves.take(addressee, budget.remaining / 2, table.size(), nowNanos);
+        sentLeaves.forEach(leave -> budget.tryReserve(leave.leave().encodedBytes()));
         List<CrashReport> reports = takeCrashReports(budget, nowNanos);
         List<Member> members = new ArrayList<>();
         // Reserves half of the remaining bytes for recent updates if a digest shows many
--- a/core/src/main/java/org/dogwoodwood/core/membership/TargetLeave.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/TargetLeave.java
@@ -18,8 +18,8 @@
     /** The sequence of a leave after which the process sends no more heartbeats. */
     public static final long ALL_HEARTBEATS = Long.MAX_VALUE;
 
-    // Two numbers and the MessagePack headers of an encoded leave.
-    private static final int FIXED_BYTES = 25;
+    // Three numbers, with the age, and the MessagePack headers of an encoded leave.
+    private static final int FIXED_BYTES = 34;
 
     /** Checks that the references are present. */
     public TargetLeave {
--- a/core/src/main/java/org/dogwoodwood/core/membership/TargetLeaves.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/TargetLeaves.java
@@ -1,6 +1,5 @@
 package org.dogwoodwood.core.membership;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -22,12 +21,25 @@
     /** How long a leave is kept, in nanoseconds: much longer than a heartbeat may be held up. */
     private static final long RETENTION_NANOS = 600_000_000_000L;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     /** The latest leaves that are kept of the targets of one node. */
     private static final int MAX_PER_NODE = 4;
 
     private record Key(NodeId node, String instance) {}
 
-    private record Known(TargetLeave leave, long learnedNanos) {}
+    /** A leave and when it was recorded, on the monotonic clock, in nanoseconds. */
+    private record Known(TargetLeave leave, long recordedNanos) {
+
+        // The same at all nodes, so that they keep the same leaves.
+        static final Comparator<Known> BY_START =
+                Comparator.<Known>comparingLong(known -> known.leave.startedAtMillis())
+                        .thenComparing(known -> known.leave.instance());
+
+        KnownLeave at(long nowNanos) {
+            return new KnownLeave(leave, Math.max(0, (nowNanos - recordedNanos) / NANOS_PER_MILLI));
+        }
+    }
 
     private final Map<NodeId, Map<String, Known>> leavesByNode = new HashMap<>();
     private final UpdateQueue<Key> queue = new UpdateQueue<>();
@@ -39,27 +51,44 @@
         return new TargetLeaves();
     }
 
+    /** Adds a leave that is recorded now, and queues it for dissemination unless it is known. */
+    public void add(TargetLeave leave, long nowNanos) {
+        add(new KnownLeave(leave, 0), nowNanos);
+    }
+
     /**
-     * Adds a leave and queues it for dissemination, unless it is known.
+     * Adds a leave and queues it for dissemination, unless it is known or too old.
      *
      * @return whether it is new
      */
-    public boolean add(TargetLeave leave, long nowNanos) {
+    boolean add(KnownLeave received, long nowNanos) {
         removeExpired(nowNanos);
-        Map<String, Known> ofNode =
-                leavesByNode.computeIfAbsent(leave.node(), any -> new HashMap<>());
+        TargetLeave leave = received.leave();
+        Known next = new Known(leave, nowNanos - received.ageMillis() * NANOS_PER_MILLI);
+        Map<String, Known> ofNode = leavesByNode.getOrDefault(leave.node(), Map.of());
         Known known = ofNode.get(leave.instance());
-        if (known != null && !leave.supersedes(known.leave)) {
+        if (isExpired(next, nowNanos) || (known != null && !leave.supersedes(known.leave))) {
             return false;
         }
-        ofNode.put(leave.instance(), new Known(leave, nowNanos));
-        if (ofNode.size() > MAX_PER_NODE) {
-            ofNode.values().stream()
-                    .min(Comparator.comparingLong(Known::learnedNanos))
-                    .ifPresent(oldest -> ofNode.remove(oldest.leave.instance()));
+        leavesByNode
+                .computeIfAbsent(leave.node(), any -> new HashMap<>())
+                .put(leave.instance(), next);
+        if (!removeEarliest(leave.node()).equals(Optional.of(next))) {
+            queue.add(new Key(leave.node(), leave.instance()));
+            return true;
+        }
+        return false;
+    }
+
+    /** Removes the leave of the earliest process if there are too many, and returns it. */
+    private Optional<Known> removeEarliest(NodeId node) {
+        Map<String, Known> ofNode = leavesByNode.get(node);
+        if (ofNode.size() <= MAX_PER_NODE) {
+            return Optional.empty();
         }
-        queue.add(new Key(leave.node(), leave.instance()));
-        return true;
+        Optional<Known> earliest = ofNode.values().stream().min(Known.BY_START);
+        earliest.ifPresent(known -> ofNode.remove(known.leave.instance()));
+        return earliest;
     }
 
     /** Returns the latest leaves of the targets of a node. */
@@ -81,35 +110,35 @@
      * @param addressee the receiver, or empty if it is unknown
      * @param budgetBytes the largest size of the others, in bytes
      * @param members the number of members
+     * @param nowNanos the current time on the monotonic clock, in nanoseconds
      */
-    List<TargetLeave> take(Optional<NodeId> addressee, int budgetBytes, int members) {
-        Set<TargetLeave> taken = new LinkedHashSet<>();
-        addressee.ifPresent(node -> taken.addAll(of(node)));
+    List<KnownLeave> take(Optional<NodeId> addressee, int budgetBytes, int members, long nowNanos) {
+        removeExpired(nowNanos);
+        Set<Known> taken = new LinkedHashSet<>();
+        addressee.ifPresent(
+                node -> taken.addAll(leavesByNode.getOrDefault(node, Map.of()).values()));
         for (Key key : queue.take(budgetBytes, this::bytes, members)) {
             find(key).ifPresent(taken::add);
         }
-        return new ArrayList<>(taken);
+        return taken.stream().map(known -> known.at(nowNanos)).toList();
     }
 
-    private Optional<TargetLeave> find(Key key) {
-        return Optional.ofNullable(leavesByNode.getOrDefault(key.node, Map.of()).get(key.instance))
-                .map(Known::leave);
+    private Optional<Known> find(Key key) {
+        return Optional.ofNullable(leavesByNode.getOrDefault(key.node, Map.of()).get(key.instance));
     }
 
     private int bytes(Key key) {
-        return find(key).map(TargetLeave::encodedBytes).orElse(0);
+        return find(key).map(known -> known.leave.encodedBytes()).orElse(0);
+    }
+
+    private static boolean isExpired(Known known, long nowNanos) {
+        return nowNanos - known.recordedNanos >= RETENTION_NANOS;
     }
 
     private void removeExpired(long nowNanos) {
         leavesByNode
                 .values()
-                .forEach(
-                        ofNode ->
-                                ofNode.values()
-                                        .removeIf(
-                                                known ->
-                                                        nowNanos - known.learnedNanos
-                                                                > RETENTION_NANOS));
+                .forEach(ofNode -> ofNode.values().removeIf(known -> isExpired(known, nowNanos)));
         leavesByNode.values().removeIf(Map::isEmpty);
     }
 }
