--- a/soak/src/main/java/org/dogwoodwood/soak/PlatformNames.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/PlatformNames.java
@@ -6,6 +6,7 @@
     static final String REQUEST_ID = "X-Dogwoodwood-Request-Id";
     static final String RESPONSE_STAMP = "X-Dogwoodwood-Response-Stamp";
     static final String DEADLINE_MILLIS = "X-Dogwoodwood-Deadline-Ms";
+    static final String EXPECT_INSTANCE = "X-Dogwoodwood-Expect-Instance";
     static final String NOT_EXECUTED = "X-Dogwoodwood-Not-Executed";
     static final String INSTANCE_ID = "X-Dogwoodwood-Instance-Id";
     static final String SERVER_LOAD = "X-Dogwoodwood-Server-Load";
--- a/soak/src/main/java/org/dogwoodwood/soak/Rule.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/Rule.java
@@ -11,7 +11,10 @@
     NO_STRAY_BYTES("bytes came while no request was waiting"),
     OWN_END("a process ended by itself"),
     NOT_STARTED("a process that was not told to end is not ready"),
-    STUCK("a process did not end within the grace time");
+    STUCK("a process did not end within the grace time"),
+    SERVED_AFTER_RETURN("requests that crash nothing are refused though all targets are back"),
+    RETURNED_TARGET_USED("a target that is back gets no request"),
+    CRASHER_STOPPED("a request goes on crashing targets");
 
     private final String description;
 
--- a/soak/src/main/java/org/dogwoodwood/soak/Soak.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/Soak.java
@@ -1,49 +1,32 @@
 package org.dogwoodwood.soak;
 
-import io.vertx.core.Vertx;
 import java.io.IOException;
-import java.net.http.HttpClient;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.dogwoodwood.node.settings.Endpoint;
-import org.dogwoodwood.standins.store.StandinStore;
 
 /** Plays a soak: starts a store, targets and nodes, sends requests and checks the answers. */
 final class Soak {
 
-    private static final int TIMER_THREADS = 8;
     private static final int HEARTBEAT_MILLIS = 500;
-    private static final int READY_CHECK_MILLIS = 100;
     // Lets the nodes learn about each other's targets.
     private static final int SETTLE_MILLIS = 2_000;
     // Longer than the longest deadline of a request.
     private static final int LAST_RUNS_MILLIS = 2_500;
-    // Longer than it takes until a node breaks STUCK or NOT_STARTED.
-    private static final int READY_MILLIS =
-            LifeChecker.GRACE_MILLIS + LifeChecker.START_MILLIS + 5_000;
-
     private final SoakOptions options;
-    private final Path folder;
-    private final Vertx vertx = Vertx.vertx();
-    private final HttpClient client = HttpClient.newHttpClient();
-    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
     private final Counts counts = new Counts();
     private final AnswerLog log = new AnswerLog();
     private final Evidence evidence = new Evidence(counts, log);
-    private final List<SoakVm> vms = new ArrayList<>();
+    private final SoakDeployment deployment;
     private final List<StutteringTarget> targets = new ArrayList<>();
-    private final List<Thread> watches = new ArrayList<>();
-    private final LifeChecker lifeChecker = new LifeChecker(evidence);
-    private StoreTrouble store;
 
-    private Soak(SoakOptions options, Path folder) {
+    private Soak(SoakOptions options, Path folder) throws IOException {
         this.options = options;
-        this.folder = folder;
+        HangupPolicy hangups =
+                options.troubleGapMillis() > 0 ? options.hangups() : HangupPolicy.NEVER;
+        this.deployment = SoakDeployment.create(options, folder, hangups, evidence);
     }
 
     /**
@@ -65,53 +48,25 @@
     }
 
     private void start() throws IOException, InterruptedException {
-        StandinStore standin =
-                StandinStore.start(vertx).toCompletionStage().toCompletableFuture().join();
-        store = new StoreTrouble(standin, options.services());
-        Endpoint storeAddress = Endpoint.of("127.0.0.1", standin.port());
-        FreePorts ports = new FreePorts();
-        for (String service : options.services()) {
-            int targetsOfService = options.targets().get(options.services().indexOf(service));
-            for (int i = 0; i < targetsOfService; i++) {
-                startVm(service, ports, storeAddress);
-            }
+        for (SoakVm vm : deployment.vms()) {
+            startTarget(vm);
         }
-        awaitReady();
+        deployment.startNodes();
         Thread.sleep(SETTLE_MILLIS);
     }
 
-    private void startVm(String service, FreePorts ports, Endpoint storeAddress)
-            throws IOException {
-        SoakVm vm = SoakVm.create(vms.size(), service, ports, storeAddress, folder, support());
-        vms.add(vm);
+    private void startTarget(SoakVm vm) throws IOException {
         targets.add(
                 StutteringTarget.start(
-                        vm.name(), vm.target().port(), options, log, counts, timers));
-        vm.startNode();
-        watches.add(new ReadinessWatch(vm, store, lifeChecker, client).start());
+                        vm.name(), vm.target().port(), options, log, counts, deployment.timers()));
         var unused =
-                timers.scheduleAtFixedRate(
-                        () -> vm.sendHeartbeat(client), 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private NodeSupport support() {
-        return new NodeSupport(
-                options.command(),
-                lifeChecker,
-                options.troubleGapMillis() > 0 ? options.hangups() : HangupPolicy.NEVER,
-                timers,
-                counts,
-                options.seed());
-    }
-
-    /** Waits until each node has been ready, or has broken a rule of its processes. */
-    private void awaitReady() throws InterruptedException {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
-        for (SoakVm vm : vms) {
-            while (!vm.isReady(client) && System.nanoTime() < endNanos) {
-                Thread.sleep(READY_CHECK_MILLIS);
-            }
-        }
+                deployment
+                        .timers()
+                        .scheduleAtFixedRate(
+                                () -> vm.sendHeartbeat(deployment.client()),
+                                0,
+                                HEARTBEAT_MILLIS,
+                                TimeUnit.MILLISECONDS);
     }
 
     private void play() throws InterruptedException {
@@ -122,10 +77,14 @@
         if (options.troubleGapMillis() > 0) {
             TroubleSeries trouble =
                     new TroubleSeries(
-                            vms, store, options.troubleGapMillis(), troubleRandom, counts);
+                            deployment.vms(),
+                            deployment.store(),
+                            options.troubleGapMillis(),
+                            troubleRandom,
+                            counts);
             threads.add(Daemons.start("trouble", () -> trouble.run(endNanos)));
         }
-        for (SoakVm vm : vms) {
+        for (SoakVm vm : deployment.vms()) {
             for (int number = 0; number < options.clientsPerNode(); number++) {
                 CheckingClient checking =
                         new CheckingClient(
@@ -142,7 +101,7 @@
             thread.join();
         }
         Thread.sleep(LAST_RUNS_MILLIS);
-        awaitReady();
+        deployment.awaitReady();
     }
 
     private SoakResult result() {
@@ -152,14 +111,9 @@
     }
 
     private void stop() throws IOException {
-        watches.forEach(Thread::interrupt);
-        timers.shutdownNow();
-        for (SoakVm vm : vms) {
-            vm.node().shutDown();
-        }
+        deployment.stop();
         for (StutteringTarget target : targets) {
             target.stop();
         }
-        vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 }
--- a/soak/src/main/java/org/dogwoodwood/soak/SoakMain.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/SoakMain.java
@@ -32,6 +32,7 @@
     private static final OptionSpec<Void> NEXT_ATTEMPT = PARSER.accepts("copies-for-next-attempt");
     private static final OptionSpec<Integer> TROUBLE_GAP = number("trouble-gap-ms", 700);
     private static final OptionSpec<Void> HANGUP_FROM_START = PARSER.accepts("hangup-from-start");
+    private static final OptionSpec<Void> RETURNS = PARSER.accepts("returns");
     private static final OptionSpec<String> CLASS_PATH =
             PARSER.accepts("node-class-path")
                     .withRequiredArg()
@@ -52,10 +53,14 @@
 
     private static int run(String[] arguments) throws InterruptedException {
         try {
-            SoakOptions options = read(PARSER.parse(arguments));
+            OptionSet given = PARSER.parse(arguments);
+            SoakOptions options = read(given);
             Path folder = Files.createTempDirectory("soak");
             System.out.println("logs of the nodes: " + folder);
-            SoakResult result = Soak.run(options, folder);
+            SoakResult result =
+                    given.has(RETURNS)
+                            ? ReturnSoak.run(options, folder)
+                            : Soak.run(options, folder);
             result.print(System.out);
             return result.violations().isEmpty() ? OK : BROKEN;
         } catch (OptionException | IllegalArgumentException e) {
--- a/soak/src/main/java/org/dogwoodwood/soak/SoakVm.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/SoakVm.java
@@ -73,6 +73,10 @@
         return name;
     }
 
+    String service() {
+        return service;
+    }
+
     Endpoint target() {
         return target;
     }
@@ -101,19 +105,40 @@
 
     /** Sends a heartbeat; the next one follows whether or not it was acknowledged. */
     void sendHeartbeat(HttpClient client) {
+        int sequence = heartbeats.incrementAndGet();
+        sendHeartbeat(client, StutteringTarget.SLOTS, name, startedMillis, sequence, false);
+    }
+
+    /**
+     * Sends a heartbeat of a process of the target.
+     *
+     * @param slots how many requests it runs at a time
+     * @param instance the name of the process
+     * @param processStartedMillis when it started, in milliseconds of the wall clock
+     * @param sequence the number of the heartbeat
+     * @param draining whether the process says that it leaves
+     */
+    void sendHeartbeat(
+            HttpClient client,
+            int slots,
+            String instance,
+            long processStartedMillis,
+            int sequence,
+            boolean draining) {
         String heartbeat =
                 ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
-                                + "\"slots\":%d,\"state\":\"ready\",\"coldLeft\":\"0ms\","
+                                + "\"slots\":%d,\"state\":\"%s\",\"coldLeft\":\"0ms\","
                                 + "\"born\":%d,\"seq\":%d}")
                         .formatted(
                                 service,
                                 target,
                                 dataCentre,
-                                StutteringTarget.SLOTS,
-                                startedMillis,
-                                heartbeats.incrementAndGet());
+                                slots,
+                                draining ? "draining" : "ready",
+                                processStartedMillis,
+                                sequence);
         HttpRequest request =
-                request(announcements, PlatformNames.INSTANCES_PATH + name)
+                request(announcements, PlatformNames.INSTANCES_PATH + instance)
                         .PUT(HttpRequest.BodyPublishers.ofString(heartbeat))
                         .build();
         var unused = client.sendAsync(request, HttpResponse.BodyHandlers.discarding());
--- a/soak/src/main/java/org/dogwoodwood/soak/StoreTrouble.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/StoreTrouble.java
@@ -22,6 +22,11 @@
         publish();
     }
 
+    /** Returns the port of the store. */
+    int port() {
+        return store.port();
+    }
+
     /** Lets the store answer 503 for some time. */
     void goDown(int millis) throws InterruptedException {
         begin();
