Use a target that returns after the clock of its VM was set back

Cause: of two processes of a target, the one with the later start by the wall clock counted as the present one. All heartbeats of the other were ignored, whoever else was there, and nothing ended that.

Change: a process that counts as replaced is used when it sends three heartbeats over 2.5 s while the later one sends none (TARGET_NOT_REPLACED). If they came late, its calls are refused or misdirected without running, and the next heartbeat of the later process brings that one back. A namesake of a process that leaves needs as many as one that has left.

--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -50,6 +50,10 @@
             313, Severity.INFO, "The node has just started and awaits what it knew of the target."),
     TARGET_NOT_LEFT(
             314, Severity.WARNING, "A target that counted as gone goes on sending heartbeats."),
+    TARGET_NOT_REPLACED(
+            315,
+            Severity.WARNING,
+            "A target that seems older than the last one is the only one with heartbeats."),
 
     REQUEST_REFUSED(401, Severity.WARNING, "A caller's request breaks HTTP and is refused."),
     SLOW_SENDER(402, Severity.WARNING, "A caller did not send its whole request in time."),
