Weigh a crash on trial: targets crash for reasons of their own

Cause: a crash on trial counted as proof. Targets that crash together are as many crashes without a success, so the page is blocked and tried at once; the next crash falls into the trial and refuses it for 60 s, then 120 s.

Change: such a crash is proof only if the target crashed within 0.3 s of the begin of the trial, no target is known to have answered the request, and no target that did not run it crashed within 1.5 s. One reason to doubt leaves 4, 15, then 60 s; two leave none. Nodes remember recent answers (RecentAnswers) and exchange each crash of a target. Other requests in flight at a crash on trial are suspected as well; they got away before. The logs tell of blocks, trials and clearings.

--- a/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,10 +21,12 @@
  */
 public final class CrashFingerprintRegistry {
 
-    private record Evidence(CrashKind kind, NodeId guard, long targetIncarnation, long sequence) {}
+    /** Stands for no request, in records of crashes of targets. */
+    public static final long NO_REQUEST = 0;
 
     private long holdNanos;
-    private final Map<Long, Map<Evidence, Long>> evidenceByFingerprint = new HashMap<>();
+    private final Map<Long, CrashEvents> eventsByFingerprint = new HashMap<>();
+    private final CrashEvents targetCrashes = new CrashEvents();
 
     private CrashFingerprintRegistry(long holdNanos) {
         setHoldNanos(holdNanos);
@@ -48,64 +49,84 @@
     }
 
     /**
-     * Records the requests that were in flight when a target crashed.
+     * Records a crash of a target.
      *
      * @param guard the node beside the target
      * @param targetIncarnation the incarnation of the target that crashed
      * @param fingerprints the fingerprints of the requests that were in flight
+     * @param tried the request that was on trial, if there was one
      * @param nowNanos the current time on the monotonic clock, in nanoseconds
      */
     public void onCrash(
-            NodeId guard, long targetIncarnation, Set<Long> fingerprints, long nowNanos) {
-        Evidence crash = new Evidence(CrashKind.CRASHED, guard, targetIncarnation, 0);
-        fingerprints.forEach(fingerprint -> addEvidence(fingerprint, crash, nowNanos));
+            NodeId guard,
+            long targetIncarnation,
+            Set<Long> fingerprints,
+            Optional<TrialCrash> tried,
+            long nowNanos) {
+        merge(recordsOfCrash(guard, targetIncarnation, fingerprints, tried), nowNanos);
     }
 
-    /** Records that a target crashed while it ran a request on trial. */
-    public void onTrialCrash(
-            NodeId guard, long targetIncarnation, long fingerprint, long nowNanos) {
-        Evidence crash = new Evidence(CrashKind.TRIAL_CRASHED, guard, targetIncarnation, 0);
-        addEvidence(fingerprint, crash, nowNanos);
+    /** Returns the records of a crash of a target that has just happened. */
+    public static List<CrashRecord> recordsOfCrash(
+            NodeId guard,
+            long targetIncarnation,
+            Set<Long> fingerprints,
+            Optional<TrialCrash> tried) {
+        List<CrashRecord> records = new ArrayList<>();
+        records.add(
+                CrashRecord.ofCrash(
+                        NO_REQUEST, CrashKind.TARGET_CRASHED, guard, targetIncarnation));
+        for (long fingerprint : fingerprints) {
+            CrashKind kind =
+                    tried.filter(trial -> trial.fingerprint() == fingerprint)
+                            .map(trial -> CrashKind.ofTrial(trial.begun()))
+                            .orElse(CrashKind.CRASHED);
+            records.add(CrashRecord.ofCrash(fingerprint, kind, guard, targetIncarnation));
+        }
+        return records;
     }
 
-    /** Records that a target answered a request; has no effect unless the request is suspect. */
-    public void onAnswered(NodeId guard, long targetIncarnation, long fingerprint, long nowNanos) {
-        if (suspicion(fingerprint, nowNanos).isPresent()) {
-            Evidence answer = new Evidence(CrashKind.CLEARED, guard, targetIncarnation, nowNanos);
-            addEvidence(fingerprint, answer, nowNanos);
+    /**
+     * Records that a target answered a request; has no effect unless that says something new about
+     * a request that is suspect.
+     *
+     * @param ageNanos how long ago the target answered, in nanoseconds; an answer before the first
+     *     crash clears nothing, but makes crashes on trial doubtful
+     */
+    public void onAnswered(
+            NodeId guard, long targetIncarnation, long fingerprint, long ageNanos, long nowNanos) {
+        if (isNewsOfAnswer(fingerprint, ageNanos, nowNanos)) {
+            CrashRecord answer =
+                    new CrashRecord(
+                            fingerprint,
+                            CrashKind.CLEARED,
+                            guard,
+                            targetIncarnation,
+                            nowNanos,
+                            ageNanos);
+            merge(List.of(answer), nowNanos);
         }
     }
 
+    /** Returns whether an answer says something new about a request that is suspect. */
+    public boolean isNewsOfAnswer(long fingerprint, long ageNanos, long nowNanos) {
+        return suspicion(fingerprint, nowNanos)
+                .filter(found -> ageNanos == 0 || !found.answeredBefore())
+                .isPresent();
+    }
+
     /** Returns the evidence against a request, or empty if there is none. */
     public Optional<CrashSuspicion> suspicion(long fingerprint, long nowNanos) {
-        Map<Evidence, Long> evidence = evidenceByFingerprint.getOrDefault(fingerprint, Map.of());
-        long clearedAt = Long.MIN_VALUE;
-        for (Map.Entry<Evidence, Long> entry : evidence.entrySet()) {
-            if (!entry.getKey().kind().isCrash()) {
-                clearedAt = Math.max(clearedAt, entry.getValue());
-            }
-        }
-        int crashes = 0;
-        int trialCrashes = 0;
-        long lastCrashNanos = Long.MIN_VALUE;
-        for (Map.Entry<Evidence, Long> entry : evidence.entrySet()) {
-            CrashKind kind = entry.getKey().kind();
-            long at = entry.getValue();
-            if (kind.isCrash() && at >= clearedAt && !isExpired(kind, at, nowNanos)) {
-                crashes++;
-                trialCrashes += kind == CrashKind.TRIAL_CRASHED ? 1 : 0;
-                lastCrashNanos = Math.max(lastCrashNanos, at);
-            }
-        }
-        return crashes == 0
+        CrashEvents events = eventsByFingerprint.get(fingerprint);
+        return events == null
                 ? Optional.empty()
-                : Optional.of(new CrashSuspicion(crashes, trialCrashes, lastCrashNanos));
+                : events.suspicion(targetCrashes, holdNanos, nowNanos);
     }
 
     /** Returns the evidence against all requests that are suspect, by fingerprint. */
     public Map<Long, CrashSuspicion> suspicions(long nowNanos) {
         Map<Long, CrashSuspicion> suspicions = new TreeMap<>();
-        for (long fingerprint : evidenceByFingerprint.keySet()) {
+        for (long fingerprint : eventsByFingerprint.keySet()) {
             suspicion(fingerprint, nowNanos)
                     .ifPresent(suspicion -> suspicions.put(fingerprint, suspicion));
         }
@@ -116,18 +137,15 @@
     public List<CrashRecord> records(long nowNanos) {
         removeExpired(nowNanos);
         List<CrashRecord> records = new ArrayList<>();
-        evidenceByFingerprint.forEach(
-                (fingerprint, evidence) ->
-                        evidence.forEach(
-                                (what, at) ->
+        targetCrashes.forEach(
+                (event, at) -> records.add(CrashRecord.of(NO_REQUEST, event, nowNanos - at)));
+        eventsByFingerprint.forEach(
+                (fingerprint, events) ->
+                        events.forEach(
+                                (event, at) ->
                                         records.add(
-                                                new CrashRecord(
-                                                        fingerprint,
-                                                        what.kind(),
-                                                        what.guard(),
-                                                        what.targetIncarnation(),
-                                                        what.sequence(),
-                                                        nowNanos - at))));
+                                                CrashRecord.of(
+                                                        fingerprint, event, nowNanos - at))));
         return records;
     }
 
@@ -139,44 +157,26 @@
      */
     public void merge(Collection<CrashRecord> records, long nowNanos) {
         for (CrashRecord record : records) {
+            CrashEvent event = CrashEvent.of(record);
             long atNanos = nowNanos - record.ageNanos();
-            if (record.ageNanos() >= 0 && !isExpired(record.kind(), atNanos, nowNanos)) {
-                Evidence what =
-                        new Evidence(
-                                record.kind(),
-                                record.guard(),
-                                record.targetIncarnation(),
-                                record.sequence());
-                addEvidence(record.fingerprint(), what, atNanos);
+            boolean expired = CrashEvents.isExpired(event, atNanos, holdNanos, nowNanos);
+            if (record.ageNanos() >= 0 && !expired) {
+                eventsOf(record).add(event, atNanos);
             }
         }
         removeExpired(nowNanos);
     }
 
-    private boolean isExpired(CrashKind kind, long atNanos, long nowNanos) {
-        return nowNanos - atNanos >= kind.retentionNanos(holdNanos);
-    }
-
-    private void addEvidence(long fingerprint, Evidence what, long atNanos) {
-        Map<Evidence, Long> evidence =
-                evidenceByFingerprint.computeIfAbsent(fingerprint, any -> new LinkedHashMap<>());
-        // Transit time makes each received copy appear younger than it is, so the oldest time is
-        // the most accurate.
-        evidence.merge(what, atNanos, Math::min);
+    private CrashEvents eventsOf(CrashRecord record) {
+        return record.kind() == CrashKind.TARGET_CRASHED
+                ? targetCrashes
+                : eventsByFingerprint.computeIfAbsent(
+                        record.fingerprint(), any -> new CrashEvents());
     }
 
     private void removeExpired(long nowNanos) {
-        evidenceByFingerprint
-                .values()
-                .forEach(
-                        evidence ->
-                                evidence.entrySet()
-                                        .removeIf(
-                                                entry ->
-                                                        isExpired(
-                                                                entry.getKey().kind(),
-                                                                entry.getValue(),
-                                                                nowNanos)));
-        evidenceByFingerprint.values().removeIf(Map::isEmpty);
+        targetCrashes.removeExpired(holdNanos, nowNanos);
+        eventsByFingerprint.values().forEach(events -> events.removeExpired(holdNanos, nowNanos));
+        eventsByFingerprint.values().removeIf(CrashEvents::isEmpty);
     }
 }
--- a/core/src/main/java/org/dogwoodwood/core/health/CrashKind.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashKind.java
@@ -6,12 +6,14 @@
 public enum CrashKind {
     /** The request was one of those in flight when a target crashed. */
     CRASHED(1, 1),
-    /**
-     * The request was in flight on trial when the target crashed, which shows that it is the cause.
-     */
+    /** The target crashed right after it had begun to run the request on trial. */
     TRIAL_CRASHED(2, CrashKind.RETAINED_HOLDS),
     /** A target answered the request, which a request that crashes targets never reaches. */
-    CLEARED(3, CrashKind.RETAINED_HOLDS);
+    CLEARED(3, CrashKind.RETAINED_HOLDS),
+    /** The target crashed when it had run the request on trial for a while. */
+    TRIAL_CRASHED_LATE(4, CrashKind.RETAINED_HOLDS),
+    /** A target crashed, whatever was in flight; of no request. */
+    TARGET_CRASHED(5, CrashKind.RETAINED_HOLDS);
 
     /** Twice the longest time for which a request is refused between two trials. */
     private static final int RETAINED_HOLDS = 2 * CrashSuspicion.MAX_HOLDS;
@@ -34,20 +36,31 @@
         return Optional.empty();
     }
 
+    /** Returns the kind of a crash at which a request was on trial. */
+    public static CrashKind ofTrial(boolean begun) {
+        return begun ? TRIAL_CRASHED_LATE : TRIAL_CRASHED;
+    }
+
     /** Returns the stable number of this kind in messages. */
     public int code() {
         return code;
     }
 
-    /** Returns whether the observation counts as a crash of a target. */
+    /** Returns whether a request was in flight at the crash of a target. */
     public boolean isCrash() {
-        return this != CLEARED;
+        return this == CRASHED || isTrial();
+    }
+
+    /** Returns whether a request was on trial at the crash of a target. */
+    public boolean isTrial() {
+        return this == TRIAL_CRASHED || this == TRIAL_CRASHED_LATE;
     }
 
     /**
      * Returns how long an observation is kept, in nanoseconds.
      *
-     * @param holdNanos the time for which a request is refused after the first crash on trial
+     * @param holdNanos the time for which a request is refused after a crash on trial that proves
+     *     that it is the cause
      */
     long retentionNanos(long holdNanos) {
         return retainedHolds * holdNanos;
--- a/core/src/main/java/org/dogwoodwood/core/health/CrashTrials.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashTrials.java
@@ -14,14 +14,20 @@
  * The trials of blocked requests at one guard. Not thread-safe.
  *
  * <p>A blocked request is tried at one target of its service, and a guard tries one request at a
- * time: if the target crashes then, the cause is known, and if it answers, the request was blocked
- * wrongly.
+ * time: if the target answers, the request was blocked wrongly, and if it crashes then, that is
+ * stronger evidence than a crash with any request in flight.
  */
 public final class CrashTrials {
 
     /** How long after its connection broke a trial waits for the poll that shows a crash. */
     private static final long VERDICT_NANOS = 2_000_000_000L;
 
+    /**
+     * A target that has run a request for longer did not crash because it began to run it. Allows
+     * for a short time in the target's own queue.
+     */
+    private static final long BEGIN_NANOS = 300_000_000L;
+
     private final NodeId self;
     private Trial current;
 
@@ -67,8 +73,17 @@
     }
 
     /** Records that a blocked request starts at the target. */
-    public void begin(CallDescription call) {
-        current = new Trial(call.id(), call.attempt(), call.fingerprint(), Optional.empty());
+    public void begin(CallDescription call, long nowNanos) {
+        current =
+                new Trial(
+                        call.id(), call.attempt(), call.fingerprint(), nowNanos, Optional.empty());
+    }
+
+    /** Returns whether an attempt is the one on trial. */
+    public boolean isOnTrial(CallDescription call) {
+        return current != null
+                && current.call().equals(call.id())
+                && current.attempt() == call.attempt();
     }
 
     /**
@@ -78,11 +93,7 @@
      * @param nowNanos the current time in nanoseconds
      */
     public void end(CallDescription call, boolean broken, long nowNanos) {
-        boolean onTrial =
-                current != null
-                        && current.call().equals(call.id())
-                        && current.attempt() == call.attempt();
-        if (onTrial) {
+        if (isOnTrial(call)) {
             current = broken ? current.brokenAt(nowNanos) : null;
         }
     }
@@ -91,11 +102,14 @@
      * Ends the trial at a crash of the target.
      *
      * @param inFlight the fingerprints of the requests that were in flight at the crash, not null
-     * @return the fingerprint of the request on trial if it is one of them
+     * @param nowNanos the current time in nanoseconds
+     * @return the request on trial if it is one of them
      */
-    public Optional<Long> onCrash(Set<Long> inFlight) {
-        Optional<Long> tried =
-                Optional.ofNullable(current).map(Trial::fingerprint).filter(inFlight::contains);
+    public Optional<TrialCrash> onCrash(Set<Long> inFlight, long nowNanos) {
+        Optional<TrialCrash> tried =
+                Optional.ofNullable(current)
+                        .filter(trial -> inFlight.contains(trial.fingerprint()))
+                        .map(trial -> trial.toCrash(nowNanos));
         current = null;
         return tried;
     }
@@ -105,10 +119,20 @@
                 && current.brokenNanos().filter(at -> nowNanos - at > VERDICT_NANOS).isEmpty();
     }
 
-    private record Trial(CallId call, int attempt, long fingerprint, Optional<Long> brokenNanos) {
+    private record Trial(
+            CallId call,
+            int attempt,
+            long fingerprint,
+            long startNanos,
+            Optional<Long> brokenNanos) {
 
         Trial brokenAt(long nowNanos) {
-            return new Trial(call, attempt, fingerprint, Optional.of(nowNanos));
+            return new Trial(call, attempt, fingerprint, startNanos, Optional.of(nowNanos));
+        }
+
+        TrialCrash toCrash(long nowNanos) {
+            long ranNanos = brokenNanos.orElse(nowNanos) - startNanos;
+            return new TrialCrash(fingerprint, ranNanos > BEGIN_NANOS);
         }
     }
 }
--- a/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedGuard.java
+++ b/faults/src/main/java/org/dogwoodwood/faults/simulation/SimulatedGuard.java
@@ -20,6 +20,8 @@
 import org.dogwoodwood.core.calls.FinishedCall;
 import org.dogwoodwood.core.health.CrashSuspicion;
 import org.dogwoodwood.core.health.CrashTrials;
+import org.dogwoodwood.core.health.RecentAnswers;
+import org.dogwoodwood.core.health.TrialCrash;
 import org.dogwoodwood.core.idempotency.IdempotencyRegistry;
 import org.dogwoodwood.core.idempotency.KeyDecision;
 import org.dogwoodwood.core.model.CallDescription;
@@ -56,6 +58,7 @@
     private final IdempotencyRegistry keys;
     private final Map<AttemptId, PendingCall> pending = new LinkedHashMap<>();
     private final CrashTrials trials;
+    private final RecentAnswers recentAnswers = RecentAnswers.create();
     private final Map<AttemptId, Boolean> keyedAttempts = new HashMap<>();
     private long targetIncarnation = 1;
     private long reportSequence;
@@ -151,7 +154,7 @@
             return;
         }
         if (blocked.isPresent()) {
-            trials.begin(call);
+            trials.begin(call, loop.now());
         }
         beginKey(message);
     }
@@ -260,7 +263,8 @@
         trials.end(call.message.call(), finished.outcome() == Outcome.UNKNOWN, loop.now());
         if (finished.outcome() == Outcome.ANSWERED) {
             long fingerprint = call.message.call().fingerprint();
-            node.control().onAnswered(targetIncarnation, fingerprint);
+            recentAnswers.add(fingerprint, loop.now());
+            node.control().onAnswered(targetIncarnation, fingerprint, 0);
         }
         keyedAttempts.remove(id);
         calls.finish(id, finished, loop.now());
@@ -341,10 +345,19 @@
         pending.values().stream()
                 .filter(call -> call.started)
                 .forEach(call -> fingerprints.add(call.message.call().fingerprint()));
-        trials.onCrash(fingerprints)
-                .ifPresentOrElse(
-                        tried -> node.control().onTrialCrash(targetIncarnation, tried),
-                        () -> node.control().onCrash(targetIncarnation, fingerprints));
+        Optional<TrialCrash> tried = trials.onCrash(fingerprints, loop.now());
+        node.control().onCrash(targetIncarnation, fingerprints, tried);
+        fingerprints.forEach(
+                fingerprint ->
+                        recentAnswers
+                                .ageNanos(fingerprint, loop.now())
+                                .ifPresent(
+                                        age ->
+                                                node.control()
+                                                        .onAnswered(
+                                                                targetIncarnation,
+                                                                fingerprint,
+                                                                age)));
         targetIncarnation++;
         admission.onCapacity(capacity(true), loop.now());
     }
--- a/faults/src/test/java/org/dogwoodwood/faults/simulation/CrashingRequestScenarioTests.java
+++ b/faults/src/test/java/org/dogwoodwood/faults/simulation/CrashingRequestScenarioTests.java
@@ -31,6 +31,18 @@
     private static final long STABLE_WINDOW_NANOS = 3 * SECOND;
 
     private static final int MAX_LATE_RETRIES = 3;
+
+    /** Requests take 0.3 to 0.8 s then, about as long as targets are up between crashes. */
+    private static final int LONG_REQUEST_FACTOR = 40;
+
+    private static final long LONG_INTERVAL_NANOS = 50 * MILLISECOND;
+    private static final int OWN_CRASHES = 6;
+    private static final long MIN_CRASH_GAP_NANOS = 600 * MILLISECOND;
+    private static final long OWN_CRASH_INTERVAL_NANOS = 2 * SECOND;
+
+    /** How long after the last crash all requests are served. */
+    private static final long SETTLE_NANOS = 5 * SECOND;
+
     private static final List<String> NODES = List.of("a1", "b1", "c1", "c2");
 
     private SimulatedCluster cluster;
@@ -42,6 +54,7 @@
         start(seed);
         long startNanos = cluster.loop().now();
         sendBoth(LENGTH_NANOS);
+        runFor(TIMEOUT_NANOS);
 
         assertFewLateRetries(PolicyDefinition.DEFAULT_CRASH_LIMIT, NODES);
         assertPopularIsServed(startNanos);
@@ -56,12 +69,86 @@
         runFor(5 * SECOND);
         long startNanos = cluster.loop().now();
         sendBoth(LENGTH_NANOS);
+        runFor(TIMEOUT_NANOS);
 
         assertFewLateRetries(PolicyDefinition.DEFAULT_CRASH_LIMIT, List.of("a1"));
         assertFewLateRetries(PolicyDefinition.DEFAULT_CRASH_LIMIT, List.of("b1", "c1", "c2"));
         assertPopularIsServed(startNanos);
     }
 
+    /**
+     * Guards against a long request that is refused for minutes, since it is at work whenever all
+     * targets crash together, also when it is on trial, though it was answered before.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void longRequestIsServedAfterTargetsCrashTogether(long seed) {
+        startWithLongRequests(seed);
+        for (int crash = 0; crash < OWN_CRASHES; crash++) {
+            cluster.targets().forEach(SimulatedTarget::crash);
+            sendPopular(LONG_INTERVAL_NANOS, drawUpNanos());
+        }
+        assertServedAfterLastCrash();
+    }
+
+    /** As above, with targets that crash one after the other. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void longRequestIsServedAfterTargetsCrashInTurn(long seed) {
+        startWithLongRequests(seed);
+        for (int crash = 0; crash < OWN_CRASHES; crash++) {
+            target(crash % NODES.size()).crash();
+            sendPopular(LONG_INTERVAL_NANOS, drawUpNanos() / NODES.size());
+        }
+        assertServedAfterLastCrash();
+    }
+
+    /** Guards against a crashing request that profits from doubts while targets crash anyway. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void crashingRequestIsStoppedWhileTargetsCrashAnyway(long seed) {
+        start(seed);
+        long startNanos = cluster.loop().now();
+        for (int i = 0; i < LENGTH_NANOS / OWN_CRASH_INTERVAL_NANOS; i++) {
+            target(cluster.loop().random().nextInt(NODES.size())).crash();
+            sendBoth(OWN_CRASH_INTERVAL_NANOS);
+        }
+        runFor(TIMEOUT_NANOS);
+
+        assertFewLateRetries(PolicyDefinition.DEFAULT_CRASH_LIMIT, NODES);
+        assertPopularIsServed(startNanos);
+    }
+
+    private void startWithLongRequests(long seed) {
+        start(seed);
+        cluster.targets().forEach(target -> target.setSlowdownFactor(LONG_REQUEST_FACTOR));
+        sendPopular(LONG_INTERVAL_NANOS, 5 * SECOND);
+    }
+
+    private SimulatedTarget target(int number) {
+        return List.copyOf(cluster.targets()).get(number);
+    }
+
+    private long drawUpNanos() {
+        return MIN_CRASH_GAP_NANOS + cluster.loop().random().nextLong(MIN_CRASH_GAP_NANOS);
+    }
+
+    private void assertServedAfterLastCrash() {
+        sendPopular(LONG_INTERVAL_NANOS, SETTLE_NANOS);
+        long startNanos = cluster.loop().now();
+        sendPopular(LONG_INTERVAL_NANOS, SETTLE_NANOS);
+        runFor(TIMEOUT_NANOS);
+        assertPopularIsServed(startNanos);
+    }
+
+    /** Sends the popular request in turn through all nodes. */
+    private void sendPopular(long intervalNanos, long durationNanos) {
+        for (int i = 0; i < durationNanos / intervalNanos; i++) {
+            send(NODES.get(i % NODES.size()), POPULAR);
+            runFor(intervalNanos);
+        }
+    }
+
     private void start(long seed) {
         cluster = SimulatedCluster.create(seed, new Policies());
         cluster.startNode("a1", "a");
@@ -84,7 +171,6 @@
             }
             runFor(POPULAR_INTERVAL_NANOS);
         }
-        runFor(TIMEOUT_NANOS);
     }
 
     private void assertFewLateRetries(int crashLimit, List<String> nodes) {
--- a/node/src/main/java/org/dogwoodwood/node/control/ControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/ControlPlane.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.dogwoodwood.core.balancing.CapacityTable;
+import org.dogwoodwood.core.health.TrialCrash;
 import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.routing.RoutingTable;
 
@@ -42,25 +43,20 @@
     Future<Void> announceLeaving();
 
     /**
-     * Reports requests that were in flight when the target crashed; may be called on any thread.
+     * Reports a crash of the target; may be called on any thread.
      *
-     * @param fingerprints the fingerprints of the requests
+     * @param inFlight the fingerprints of the requests that were in flight
+     * @param tried the one of them that was on trial, if there was one
      */
-    void reportCrash(Set<Long> fingerprints);
+    void reportCrash(Set<Long> inFlight, Optional<TrialCrash> tried);
 
     /**
-     * Reports a request that was on trial when the target crashed; may be called on any thread.
+     * Reports that a target answered a suspect request; may be called on any thread.
      *
      * @param fingerprint the fingerprint of the request
+     * @param ageNanos how long ago, in nanoseconds
      */
-    void reportTrialCrash(long fingerprint);
-
-    /**
-     * Reports suspect requests that a target answered; may be called on any thread.
-     *
-     * @param fingerprints the fingerprints of the requests
-     */
-    void reportCleared(Set<Long> fingerprints);
+    void reportAnswered(long fingerprint, long ageNanos);
 
     /**
      * Returns the free capacity of services by data centre, which nodes exchange; empty if this
--- a/node/src/main/java/org/dogwoodwood/node/control/CrashEvidence.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/CrashEvidence.java
@@ -2,33 +2,31 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.dogwoodwood.core.health.CrashSuspicion;
+import org.dogwoodwood.core.health.TrialCrash;
 import org.dogwoodwood.core.membership.CrashReport;
 
 /** Evidence about requests that crash targets; used on the control thread. */
 public interface CrashEvidence {
 
     /**
-     * Records the requests that were in flight when the target beside this node crashed.
+     * Records a crash of the target beside this node.
      *
+     * @param inFlight the fingerprints of the requests that were in flight
+     * @param tried the one of them that was on trial, if there was one
      * @return the reports to disseminate
      */
-    List<CrashReport> onCrash(Set<Long> fingerprints, long nowNanos);
+    List<CrashReport> onCrash(Set<Long> inFlight, Optional<TrialCrash> tried, long nowNanos);
 
     /**
-     * Records a request that was on trial when the target beside this node crashed.
+     * Records that a target answered a request.
      *
-     * @return the reports to disseminate
-     */
-    List<CrashReport> onTrialCrash(long fingerprint, long nowNanos);
-
-    /**
-     * Records requests that a target answered.
-     *
-     * @return the reports to disseminate; none of requests that are not suspect
+     * @param ageNanos how long ago, in nanoseconds
+     * @return the reports to disseminate; none if this says nothing new about a suspect request
      */
-    List<CrashReport> onCleared(Set<Long> fingerprints, long nowNanos);
+    List<CrashReport> onAnswered(long fingerprint, long ageNanos, long nowNanos);
 
     /** Merges the evidence of another node. */
     void merge(List<CrashReport> reports, long nowNanos);
--- a/node/src/main/java/org/dogwoodwood/node/control/CrashReports.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/CrashReports.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
+import org.dogwoodwood.core.health.TrialCrash;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.membership.GossipStrategy;
 
@@ -28,22 +30,16 @@
         this.publisher = Objects.requireNonNull(publisher, "publisher");
     }
 
-    /** Handles the requests that were in flight when the target beside this node crashed. */
-    void onCrash(Set<Long> fingerprints) {
+    /** Handles a crash of the target beside this node. */
+    void onCrash(Set<Long> inFlight, Optional<TrialCrash> tried) {
         long now = System.nanoTime();
-        spread(evidence.onCrash(fingerprints, now), now);
+        spread(evidence.onCrash(inFlight, tried, now), now);
     }
 
-    /** Handles the request that was on trial when the target beside this node crashed. */
-    void onTrialCrash(long fingerprint) {
+    /** Handles an answer of a target to a request, which may be an earlier one. */
+    void onAnswered(long fingerprint, long ageNanos) {
         long now = System.nanoTime();
-        spread(evidence.onTrialCrash(fingerprint, now), now);
-    }
-
-    /** Handles requests that a target answered. */
-    void onCleared(Set<Long> fingerprints) {
-        long now = System.nanoTime();
-        spread(evidence.onCleared(fingerprints, now), now);
+        spread(evidence.onAnswered(fingerprint, ageNanos, now), now);
     }
 
     private void spread(List<CrashReport> reports, long nowNanos) {
--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -22,6 +22,7 @@
 import org.dogwoodwood.core.DogwoodwoodException;
 import org.dogwoodwood.core.ErrorCode;
 import org.dogwoodwood.core.balancing.CapacityTable;
+import org.dogwoodwood.core.health.TrialCrash;
 import org.dogwoodwood.core.membership.MemberTarget;
 import org.dogwoodwood.core.membership.NodeAddress;
 import org.dogwoodwood.core.membership.RegistrationList;
@@ -68,6 +69,7 @@
         this.random = random;
         this.crashEvidence = RegistryCrashEvidence.create(settings.node(), settings.incarnation());
         this.events = events;
+        onRoutingTable(new BlockedRequestLog(events)::onTable);
     }
 
     /**
@@ -198,30 +200,20 @@
     }
 
     @Override
-    public void reportCrash(Set<Long> fingerprints) {
-        Set<Long> copy = Set.copyOf(fingerprints);
+    public void reportCrash(Set<Long> inFlight, Optional<TrialCrash> tried) {
+        Set<Long> copy = Set.copyOf(inFlight);
         onControlThread(
                 () -> {
-                    state.crashReports().onCrash(copy);
+                    state.crashReports().onCrash(copy, tried);
                     return Future.succeededFuture();
                 });
     }
 
     @Override
-    public void reportTrialCrash(long fingerprint) {
+    public void reportAnswered(long fingerprint, long ageNanos) {
         onControlThread(
                 () -> {
-                    state.crashReports().onTrialCrash(fingerprint);
-                    return Future.succeededFuture();
-                });
-    }
-
-    @Override
-    public void reportCleared(Set<Long> fingerprints) {
-        Set<Long> copy = Set.copyOf(fingerprints);
-        onControlThread(
-                () -> {
-                    state.crashReports().onCleared(copy);
+                    state.crashReports().onAnswered(fingerprint, ageNanos);
                     return Future.succeededFuture();
                 });
     }
--- a/node/src/main/java/org/dogwoodwood/node/control/RegistryCrashEvidence.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/RegistryCrashEvidence.java
@@ -1,9 +1,8 @@
 package org.dogwoodwood.node.control;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.dogwoodwood.core.configuration.PolicyDefinition;
@@ -11,6 +10,7 @@
 import org.dogwoodwood.core.health.CrashKind;
 import org.dogwoodwood.core.health.CrashRecord;
 import org.dogwoodwood.core.health.CrashSuspicion;
+import org.dogwoodwood.core.health.TrialCrash;
 import org.dogwoodwood.core.membership.CrashReport;
 import org.dogwoodwood.core.model.NodeId;
 
@@ -44,22 +44,35 @@
     }
 
     @Override
-    public List<CrashReport> onCrash(Set<Long> fingerprints, long nowNanos) {
+    public List<CrashReport> onCrash(
+            Set<Long> inFlight, Optional<TrialCrash> tried, long nowNanos) {
         targetIncarnation++;
-        return recordReports(CrashKind.CRASHED, fingerprints, nowNanos);
-    }
-
-    @Override
-    public List<CrashReport> onTrialCrash(long fingerprint, long nowNanos) {
-        targetIncarnation++;
-        return recordReports(CrashKind.TRIAL_CRASHED, Set.of(fingerprint), nowNanos);
+        List<CrashReport> reports =
+                CrashFingerprintRegistry.recordsOfCrash(node, targetIncarnation, inFlight, tried)
+                        .stream()
+                        .map(RegistryCrashEvidence::toReport)
+                        .toList();
+        merge(reports, nowNanos);
+        return reports;
     }
 
     @Override
-    public List<CrashReport> onCleared(Set<Long> fingerprints, long nowNanos) {
-        Set<Long> suspect = new HashSet<>(fingerprints);
-        suspect.removeIf(fingerprint -> registry.suspicion(fingerprint, nowNanos).isEmpty());
-        return recordReports(CrashKind.CLEARED, suspect, nowNanos);
+    public List<CrashReport> onAnswered(long fingerprint, long ageNanos, long nowNanos) {
+        if (!registry.isNewsOfAnswer(fingerprint, ageNanos, nowNanos)) {
+            return List.of();
+        }
+        sequence++;
+        List<CrashReport> reports =
+                List.of(
+                        new CrashReport(
+                                fingerprint,
+                                CrashKind.CLEARED,
+                                node,
+                                targetIncarnation,
+                                sequence,
+                                TimeUnit.NANOSECONDS.toMillis(ageNanos)));
+        merge(reports, nowNanos);
+        return reports;
     }
 
     @Override
@@ -77,14 +90,14 @@
         return registry.suspicions(nowNanos);
     }
 
-    private List<CrashReport> recordReports(CrashKind kind, Set<Long> fingerprints, long nowNanos) {
-        sequence++;
-        List<CrashReport> reports = new ArrayList<>();
-        for (long fingerprint : fingerprints) {
-            reports.add(new CrashReport(fingerprint, kind, node, targetIncarnation, sequence, 0));
-        }
-        merge(reports, nowNanos);
-        return reports;
+    private static CrashReport toReport(CrashRecord record) {
+        return new CrashReport(
+                record.fingerprint(),
+                record.kind(),
+                record.guard(),
+                record.targetIncarnation(),
+                record.sequence(),
+                TimeUnit.NANOSECONDS.toMillis(record.ageNanos()));
     }
 
     private static CrashRecord toRecord(CrashReport report) {
--- a/node/src/main/java/org/dogwoodwood/node/guard/CrashWatch.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/CrashWatch.java
@@ -9,7 +9,10 @@
 import org.dogwoodwood.core.model.CallDescription;
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.routing.RoutingTable;
+import org.dogwoodwood.node.control.AnsweredRequests;
 import org.dogwoodwood.node.control.ControlPlane;
+import org.dogwoodwood.node.logging.EventLog;
+import org.dogwoodwood.node.logging.LogEvent;
 
 /**
  * Relates the calls of a guard to crashes of its target: refuses blocked requests or tries them,
@@ -18,12 +21,16 @@
 final class CrashWatch {
 
     private final ControlPlane control;
+    private final EventLog log;
     private final CrashTrials trials;
     private final SuspectRequests suspectRequests = new SuspectRequests();
+    private final AnsweredRequests answeredRequests;
 
-    CrashWatch(NodeId self, ControlPlane control) {
+    CrashWatch(NodeId self, ControlPlane control, EventLog log) {
+        this.log = Objects.requireNonNull(log, "log");
         this.control = Objects.requireNonNull(control, "control");
         this.trials = CrashTrials.create(self);
+        this.answeredRequests = AnsweredRequests.create(control);
     }
 
     /** Returns why a call may not run because of earlier crashes, or empty if it may. */
@@ -41,9 +48,15 @@
     }
 
     /** Records that a call starts at the target. */
-    void onStart(CallDescription call) {
+    void onStart(CallDescription call, long nowNanos) {
         if (control.routingTable().blocked(call.service(), call.fingerprint()).isPresent()) {
-            trials.begin(call);
+            trials.begin(call, nowNanos);
+            log.write(
+                    LogEvent.TRIAL_STARTED,
+                    "fingerprint",
+                    Long.toHexString(call.fingerprint()),
+                    "ingress",
+                    call.id().ingress());
         }
     }
 
@@ -53,21 +66,20 @@
         if (broken) {
             suspectRequests.add(call.fingerprint(), nowNanos);
         }
-        trials.end(call, broken, nowNanos);
-        boolean suspect = control.routingTable().suspicions().containsKey(call.fingerprint());
-        if (kind == TargetResult.Kind.ANSWERED && suspect) {
-            control.reportCleared(Set.of(call.fingerprint()));
+        if (trials.isOnTrial(call)) {
+            trials.end(call, broken, nowNanos);
+            String fingerprint = Long.toHexString(call.fingerprint());
+            log.write(LogEvent.TRIAL_ENDED, "fingerprint", fingerprint, "result", kind);
+        }
+        if (kind == TargetResult.Kind.ANSWERED) {
+            answeredRequests.onAnswered(call.fingerprint(), nowNanos);
         }
     }
 
-    /** Reports the requests that were in flight at a crash of the target. */
+    /** Reports a crash of the target, with the requests that were in flight. */
     void onCrash(long nowNanos) {
         Set<Long> inFlight = suspectRequests.take(nowNanos);
-        Optional<Long> tried = trials.onCrash(inFlight);
-        if (tried.isPresent()) {
-            control.reportTrialCrash(tried.get());
-        } else if (!inFlight.isEmpty()) {
-            control.reportCrash(inFlight);
-        }
+        control.reportCrash(inFlight, trials.onCrash(inFlight, nowNanos));
+        inFlight.forEach(fingerprint -> answeredRequests.onCrash(fingerprint, nowNanos));
     }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -79,7 +79,7 @@
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.identity = Objects.requireNonNull(identity, "identity");
         this.control = Objects.requireNonNull(control, "control");
-        this.crashWatch = new CrashWatch(identity.node(), control);
+        this.crashWatch = new CrashWatch(identity.node(), control, log);
         this.startChecks = new StartChecks(control::routingTable, crashWatch);
         this.serviceSettings = new ServiceSettings(control::routingTable);
         this.keyedCalls = new KeyedCalls(keys);
@@ -285,7 +285,7 @@
             return;
         }
         long remainingMillis = (call.description().deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
-        crashWatch.onStart(call.description());
+        crashWatch.onStart(call.description(), nowNanos);
         metrics.onTargetCall();
         TargetExchange exchange =
                 monitor.client()
--- a/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/Ingress.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.dogwoodwood.core.balancing.CallNeeds;
@@ -19,6 +18,7 @@
 import org.dogwoodwood.core.model.NodeId;
 import org.dogwoodwood.core.routing.RouteTarget;
 import org.dogwoodwood.core.routing.RoutingTable;
+import org.dogwoodwood.node.control.AnsweredRequests;
 import org.dogwoodwood.node.control.ControlPlane;
 import org.dogwoodwood.node.logging.EventLog;
 import org.dogwoodwood.node.loop.ReadFirstQueue;
@@ -43,6 +43,7 @@
     private final RandomGenerator random;
     private final EventLog log;
     private final ReadFirstQueue startQueue;
+    private final AnsweredRequests answeredRequests;
     private AccountQuota quota = AccountQuota.unlimited();
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<NodeId, String> serviceByNode = new HashMap<>();
@@ -68,6 +69,7 @@
         this.random = Objects.requireNonNull(random, "random");
         this.log = Objects.requireNonNull(log, "log");
         this.startQueue = ReadFirstQueue.create(vertx);
+        this.answeredRequests = AnsweredRequests.create(control);
     }
 
     /** Returns an ingress that has accepted no call yet. */
@@ -126,11 +128,8 @@
         return control.routingTable();
     }
 
-    /** Reports that a target answered a request, which clears it if it is suspect. */
-    void onAnswered(long fingerprint) {
-        if (routingTable().suspicions().containsKey(fingerprint)) {
-            control.reportCleared(Set.of(fingerprint));
-        }
+    AnsweredRequests answeredRequests() {
+        return answeredRequests;
     }
 
     EventLog log() {
--- a/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/IngressCall.java
@@ -166,6 +166,7 @@
             }
         }
         if (state.isBlocked(fingerprint)) {
+            ingress.answeredRequests().onBlocked(fingerprint, nowNanos);
             return state.trialTarget(fingerprint, nowNanos)
                     .filter(target -> !excluded.contains(target.node()));
         }
@@ -245,7 +246,8 @@
             return;
         }
         FinishedCall finished = answer.finished();
-        finished.answer().ifPresent(any -> ingress.onAnswered(fingerprint));
+        finished.answer()
+                .ifPresent(any -> ingress.answeredRequests().onAnswered(fingerprint, nowNanos));
         long latencyNanos = nowNanos - attempt.sentNanos();
         NodeId node = attempt.target().node();
         state.onEnded(node, attemptResultOf(finished), latencyNanos, nowNanos);
--- a/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
+++ b/node/src/main/java/org/dogwoodwood/node/logging/LogEvent.java
@@ -85,6 +85,8 @@
     GUARD_REFUSED(457, Severity.INFO, "The guard refused an attempt, which was not run."),
     GUARD_ENDED(458, Severity.INFO, "An attempt at the target ended without an answer."),
     GUARD_ANSWERED(459, Severity.INFO, "The target answered late or with an error."),
+    TRIAL_STARTED(460, Severity.INFO, "A blocked request runs on trial at the target."),
+    TRIAL_ENDED(461, Severity.INFO, "A blocked request on trial has ended."),
 
     ADMIN_REFUSED(501, Severity.WARNING, "A request to the admin port lacks the shared secret."),
     HANDLER_FAILED(502, Severity.ERROR, "An unexpected failure was caught."),
@@ -102,7 +104,10 @@
     LOG_STATE_ASSUMED(611, Severity.WARNING, "The version is taken from the first record."),
     CONFIGURATION_DIFFERS(612, Severity.ERROR, "A peer has another document of a version."),
     LOG_REACHABLE(613, Severity.INFO, "The platform log can be read again."),
-    LOG_RESTORED(614, Severity.WARNING, "The platform log came back from an older copy.");
+    LOG_RESTORED(614, Severity.WARNING, "The platform log came back from an older copy."),
+    REQUEST_BLOCKED(
+            615, Severity.WARNING, "A request that was at work at crashes runs on trial only."),
+    REQUEST_CLEARED(616, Severity.INFO, "A request that was blocked may run as usual.");
 
     private static final int LINES_PER_SECOND = 10;
 
