Forget the failures of a target when it is back

Cause: ingresses ejected it for up to 32 s for the calls that its crashes had failed, and avoided it for their ratio; without calls nothing shows the recovery. OutlierEjection.remove had no caller.

Change: when a target accepts work again, or its node has a new incarnation, an ingress forgets its ejection and its failures; the guard's ratio starts anew with each process of the target.

ExpectedCompletionStrategyTests, OutlierEjectionTests and DefaultAdmissionControllerTests pass.

--- a/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
+++ b/core/src/main/java/org/dogwoodwood/core/admission/DefaultAdmissionController.java
@@ -172,6 +172,10 @@
     public void onCapacity(TargetCapacity newCapacity, long nowNanos) {
         estimate.advance(inFlight(), nowNanos);
         ramp.onCapacity(newCapacity);
+        if (newCapacity.incarnation() != capacity.incarnation()) {
+            // The failures were those of an earlier process of the target.
+            errorRatio = 0;
+        }
         capacity = newCapacity;
     }
 
--- a/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/BalancingStrategy.java
@@ -44,6 +44,12 @@
             long nowNanos,
             RandomGenerator random);
 
+    /**
+     * Records that the target of a node is there again: failures of the time before say nothing
+     * about it.
+     */
+    default void onReturned(NodeId node) {}
+
     /**
      * Records that a call was sent to a node.
      *
--- a/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategy.java
@@ -188,6 +188,11 @@
         return choice;
     }
 
+    @Override
+    public void onReturned(NodeId node) {
+        table.of(node).forgetFailures();
+    }
+
     @Override
     public void onSent(NodeId node, long nowNanos) {
         table.of(node).onSent();
--- a/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
+++ b/core/src/main/java/org/dogwoodwood/core/balancing/TargetLoad.java
@@ -48,6 +48,7 @@
     private double meanLoad;
     private double meanServiceNanos;
     private double ownFailureRatio;
+    private double reportedFailureRatio;
     private double meanSlowdown = 1;
     private Optional<CrossingWindow> crossing = Optional.empty();
 
@@ -63,6 +64,7 @@
         boolean first = report == null || report.incarnation() != newReport.incarnation();
         report = newReport;
         reportNanos = nowNanos;
+        reportedFailureRatio = newReport.errorRatio();
         sentSinceReport = 0;
         double load = newReport.inFlight() + newReport.queued();
         double serviceNanos = newReport.serviceTimeMicros() * NANOS_PER_MICRO;
@@ -90,6 +92,12 @@
         }
     }
 
+    /** Forgets the failures of a target that was gone and is there again. */
+    void forgetFailures() {
+        ownFailureRatio = 0;
+        reportedFailureRatio = 0;
+    }
+
     boolean hasReport() {
         return report != null;
     }
@@ -163,7 +171,7 @@
     }
 
     double failureRatio(long nowNanos) {
-        return freshness(nowNanos) * Math.max(report.errorRatio(), ownFailureRatio);
+        return freshness(nowNanos) * Math.max(reportedFailureRatio, ownFailureRatio);
     }
 
     private double expectedSlowdown(long nowNanos) {
--- a/core/src/main/java/org/dogwoodwood/core/health/OutlierEjection.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/OutlierEjection.java
@@ -69,7 +69,7 @@
         return health != null && health.isEjected(nowNanos);
     }
 
-    /** Removes the state of a node that has left. */
+    /** Forgets a target that has left, or that was gone and is there again. */
     public void remove(NodeId node) {
         healthByNode.remove(node);
     }
--- a/core/src/test/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategyTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/balancing/ExpectedCompletionStrategyTests.java
@@ -82,6 +82,21 @@
         assertThat(choose(0)).isEqualTo(FAR);
     }
 
+    // Guards against a target that gets no calls for seconds after its return, because of calls
+    // that failed when its earlier process crashed.
+    @Test
+    void choosesATargetThatReturnedDespiteFailuresBefore() {
+        report(NEAR, 1, 0, 100, TargetState.WARM);
+        report(FAR, 1, 6, 6_000, TargetState.WARM);
+        for (int i = 0; i < 20; i++) {
+            strategy.onSent(NEAR, 0);
+            strategy.onEnded(NEAR, AttemptResult.LOST, MILLI, 0);
+        }
+        assertThat(choose(0)).isEqualTo(FAR);
+        strategy.onReturned(NEAR);
+        assertThat(choose(0)).isEqualTo(NEAR);
+    }
+
     // A draining or excluded target must receive no calls, and a suspect one only if no other
     // remains.
     @Test
--- a/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
+++ b/node/src/main/java/org/dogwoodwood/node/ingress/ServiceState.java
@@ -143,10 +143,7 @@
             budget.setNodes(current.nodes());
             hedgeBudget.setNodes(current.nodes());
             strategy.setSenders(current.nodes());
-            targetByNode.clear();
-            current.targetsOf(service).stream()
-                    .filter(RouteTarget::acceptsWork)
-                    .forEach(target -> targetByNode.put(target.node(), target));
+            updateTargets(current);
         }
         table = current;
         candidatesBuiltNanos = nowNanos;
@@ -171,6 +168,22 @@
         reportFreeCapacity(nowNanos);
     }
 
+    /** Forgets the failures of the targets that were gone and accept work again. */
+    private void updateTargets(RoutingTable current) {
+        Map<NodeId, RouteTarget> before = Map.copyOf(targetByNode);
+        targetByNode.clear();
+        for (RouteTarget target : current.targetsOf(service)) {
+            RouteTarget earlier = before.get(target.node());
+            if (target.acceptsWork()) {
+                targetByNode.put(target.node(), target);
+                if (earlier == null || earlier.incarnation() != target.incarnation()) {
+                    ejection.remove(target.node());
+                    strategy.onReturned(target.node());
+                }
+            }
+        }
+    }
+
     private void reportFreeCapacity(long nowNanos) {
         if (nowNanos - capacityReportedNanos < CAPACITY_INTERVAL_NANOS) {
             return;
