Report a crash of a target once

Found while reading logs of the soak: after a crash that broke connections, the guard told it again when the next process announced itself, and a third time when that one was polled (TARGET_CRASHED at the return, twice within 0.1 s). A target that returned within 1.5 s of a crash on trial elsewhere so made that doubtful, and one crash counted as two against requests that broke in between.

A crash is reported once between two returns, and the name that polls told is forgotten with its process.

TargetMonitorTests.aCrashIsReportedOnce passes with the others of its class.

--- a/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/TargetMonitor.java
@@ -77,6 +77,8 @@
     private boolean reportsSpeed;
     // Another process than the announced one has answered; only an announcement names its service.
     private boolean replaced;
+    // A crash that broke connections is noticed again when the next process announces itself.
+    private boolean crashReported = true;
     private long polls;
 
     TargetMonitor(
@@ -159,9 +161,10 @@
     }
 
     private void onRestarted() {
+        reportedIncarnation = Optional.empty();
         stateLog.write(LogEvent.TARGET_CRASHED, announcement);
         goDown();
-        listener.onCrash();
+        reportCrash();
     }
 
     /** Treats the target as cold until it reports otherwise. */
@@ -182,8 +185,7 @@
             // The next poll shows whether the target has crashed.
             case BROKEN, CONNECTION_LOST -> tick();
             default -> {
-                // An exchange that the guard ended is no evidence about the target; a refusal does
-                // not change the state either.
+                // Exchanges that the guard ended, and refusals, do not change the state.
             }
         }
     }
@@ -210,8 +212,7 @@
 
     /** Polls the target now if the budget allows it; returns whether a poll is in progress. */
     boolean pollNow() {
-        boolean useful = client != null && !replaced;
-        if (useful && !polling && budget.tryPoll(System.nanoTime())) {
+        if (client != null && !replaced && !polling && budget.tryPoll(System.nanoTime())) {
             poll();
         }
         return polling;
@@ -287,7 +288,7 @@
 
     private void onPollCompleted(String path, AsyncResult<PollAnswer> result) {
         if (result.failed()) {
-            if (isConnectionRefused(result.cause())) {
+            if (result.cause() instanceof ConnectException) {
                 onUnreachable();
             } else {
                 onFailedPoll();
@@ -329,7 +330,7 @@
         stateLog.onReplaced(announcement, found);
         if (state != TargetState.DOWN) {
             goDown();
-            listener.onCrash();
+            reportCrash();
         }
     }
 
@@ -382,6 +383,13 @@
         if (state != TargetState.DOWN) {
             stateLog.onDown(announcement, "refused");
             goDown();
+            reportCrash();
+        }
+    }
+
+    private void reportCrash() {
+        if (!crashReported) {
+            crashReported = true;
             listener.onCrash();
         }
     }
@@ -396,6 +404,7 @@
         if (state == TargetState.DOWN) {
             // The target has lost its warm state.
             incarnation++;
+            crashReported = false;
             stateLog.onUp(announcement, incarnation);
             publishCapacity();
         }
@@ -438,8 +447,4 @@
         stateVersion++;
         listener.onState(state);
     }
-
-    private static boolean isConnectionRefused(Throwable failure) {
-        return failure instanceof ConnectException;
-    }
 }
--- a/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/guard/TargetMonitorTests.java
@@ -161,6 +161,23 @@
         Waiting.until("the target is out of service", () -> monitor.state() == TargetState.DOWN);
     }
 
+    /** Guards against a crash that counts twice against the requests that were in flight. */
+    @Test
+    void aCrashIsReportedOnce() throws Exception {
+        healthPath = IDENTIFIED_PATH;
+        monitor.onAnnouncement(announcement(false));
+        monitor.pollNow();
+        Waiting.until("its health check is read", () -> listener.loads.get() == 1);
+
+        monitor.onCallEnded(TargetResult.Kind.CONNECT_FAILED);
+        instance = "i-2";
+        monitor.onAnnouncement(announcement("i-2", false));
+        monitor.pollNow();
+        Waiting.until("the next process is polled", () -> listener.loads.get() == 2);
+        assertThat(monitor.state()).isEqualTo(TargetState.WARM);
+        assertThat(listener.crashes.get()).isEqualTo(1);
+    }
+
     private TargetAnnouncement announcement(boolean draining) {
         return announcement("i-1", draining);
     }
@@ -178,10 +195,16 @@
                 Optional.empty());
     }
 
-    /** Counts the loads that are taken from health checks. */
+    /** Counts the loads that are taken from health checks, and the crashes. */
     private static final class LoadCounter extends IgnoringListener {
 
         private final AtomicInteger loads = new AtomicInteger();
+        private final AtomicInteger crashes = new AtomicInteger();
+
+        @Override
+        public void onCrash() {
+            crashes.incrementAndGet();
+        }
 
         @Override
         public void onLoad(ReportedLoad load) {
