Let a node use the incarnation by which its peers know it

Callers saw: a node ends, the clock of its VM is set back, and it is started again. All nodes refuse calls to its target, and its own clients get 503, for good.

Cause: peers and the log know the node by the higher incarnation of the process before, so the membership raises it. The guard expected the one that it began with and refused each call as one for another process; its load reports and the ids of its calls counted as older than those of the process before.

Change: a node adopts the incarnation by which its own target is known (OwnIncarnations). Calls, reports and HELLO carry it; the guard accepts both, since the memory is the same.

Before: RestartedNodeTests, "not served everywhere in time, statuses [503, 503]" 20 s after the start. After: it passes, with PeerProtocolTests, PeerChannelTests, FailureTests and ReturnedTargetTests, with which it shares SampleVms.

Issues: 54, 48

--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -148,6 +148,7 @@
                         components,
                         new SplittableRandom(seed),
                         context.events());
+        control.onRoutingTable(context.identity()::onRoutingTable);
         ControlRoutes.add(context.admin(), control);
         return control;
     }
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -186,7 +186,7 @@
     @Override
     public void onCall(CallFrame frame, Consumer<AttemptAnswer> listener) {
         long nowNanos = System.nanoTime();
-        if (frame.expectedIncarnation() != identity.incarnation()) {
+        if (!identity.isOwnIncarnation(frame.expectedIncarnation())) {
             listener.accept(answer(FinishedCall.notRun(ErrorCode.INCARNATION_CHANGED)));
             return;
         }
@@ -201,7 +201,7 @@
 
     @Override
     public void onResume(ResumeFrame frame, Consumer<AttemptAnswer> listener) {
-        if (frame.guardIncarnation() != identity.incarnation()) {
+        if (!identity.isOwnIncarnation(frame.guardIncarnation())) {
             listener.accept(answer(FinishedCall.unknown(ErrorCode.OUTCOME_UNKNOWN)));
             return;
         }
