Tell a process that begins of requests that crashed targets on trial

Cause: reports of crashes are spread a few times when they are new. A process that begins later never got them.

Change: when a member is another process than before, nodes queue the reports of requests that crashed targets on trial again (CrashGossip, split from GossipStrategy). These are few, one or two for each such request, so the restarts of a large installation cost little.

Before: PeerFaultTests.startedNodeLearnsOfCrashesOnTrial fails ("the process that has started knows it, too"); after: the class passes.

--- a/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/GossipStrategy.java
@@ -1,9 +1,7 @@
 package org.dogwoodwood.core.membership;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.IntFunction;
 import java.util.random.RandomGenerator;
@@ -35,7 +33,6 @@
     private static final int URGENT_ROUNDS = 2;
     private static final int VIEW_ROTATION_ROUNDS = 20;
     private static final int DEAD_PROBE_ROUNDS = 8;
-    private static final int MAX_CRASH_REPORTS = 1_000;
 
     private final MembershipTable table;
     private final DataCentreOrders orders;
@@ -45,8 +42,7 @@
     private final UpdateQueue<String> orderQueue = new UpdateQueue<>();
     private final UpdateQueue<NodeId> memberQueue = new UpdateQueue<>();
     private final RemoteUpdates remoteUpdates = RemoteUpdates.create();
-    private final UpdateQueue<String> crashQueue = new UpdateQueue<>();
-    private final Map<String, TimedReport> crashReports = new HashMap<>();
+    private final CrashGossip crashGossip = new CrashGossip();
     private final TargetLeaves leaves = TargetLeaves.create();
     private List<NodeId> localNodes = List.of();
     private List<NodeId> remoteNodes = List.of();
@@ -79,6 +75,7 @@
     /** Queues a changed entry for dissemination. */
     public void onMemberChanged(Member member) {
         memberQueue.add(member.node());
+        crashGossip.onMemberChanged(member);
         boolean local = isLocal(member.address().dataCentre());
         if (local) {
             remoteUpdates.add(member.node(), round);
@@ -100,14 +97,7 @@
      * @return whether the report was added
      */
     public boolean onCrashReport(CrashReport report, long nowNanos) {
-        long seenNanos = nowNanos - report.ageMillis() * 1_000_000;
-        boolean full = crashReports.size() >= MAX_CRASH_REPORTS;
-        TimedReport timed = new TimedReport(report, seenNanos);
-        if (full || crashReports.putIfAbsent(report.key(), timed) != null) {
-            return false;
-        }
-        crashQueue.add(report.key());
-        return true;
+        return crashGossip.add(report, nowNanos);
     }
 
     /** Returns the leaves of targets that messages spread. */
@@ -117,7 +107,7 @@
 
     /** Removes crash reports that were observed before the given time. */
     public void removeCrashReports(long olderThanNanos) {
-        crashReports.values().removeIf(report -> report.seenNanos < olderThanNanos);
+        crashGossip.remove(olderThanNanos);
     }
 
     /** Sets the configuration version and document hash that messages announce. */
@@ -255,7 +245,7 @@
 
     /** Returns what waits to be spread. */
     public GossipNews news() {
-        if (urgentRounds > 0 || orderQueue.size() + crashQueue.size() > 0) {
+        if (urgentRounds > 0 || orderQueue.size() > 0 || !crashGossip.isEmpty()) {
             return GossipNews.URGENT;
         }
         boolean ordinary = memberQueue.size() > 0 || leaves.isSpreading();
@@ -345,13 +335,8 @@
     }
 
     private List<CrashReport> takeCrashReports(ByteBudget budget, long nowNanos) {
-        List<CrashReport> reports = new ArrayList<>();
-        for (String key :
-                crashQueue.take(budget.remaining / 2, this::crashReportBytes, table.size())) {
-            CrashReport report = crashReports.get(key).withAgeAt(nowNanos);
-            budget.tryReserve(report.encodedBytes());
-            reports.add(report);
-        }
+        List<CrashReport> reports = crashGossip.take(budget.remaining / 2, table.size(), nowNanos);
+        reports.forEach(report -> budget.tryReserve(report.encodedBytes()));
         return reports;
     }
 
@@ -381,11 +366,6 @@
         return orders.find(dataCentre).map(DataCentreOrder::encodedBytes).orElse(0);
     }
 
-    private int crashReportBytes(String key) {
-        TimedReport report = crashReports.get(key);
-        return report == null ? 0 : report.report.encodedBytes();
-    }
-
     private boolean isPresent(NodeId node) {
         return table.find(node).filter(Member::isPresent).isPresent();
     }
@@ -412,19 +392,6 @@
         deadNodes = newDead;
     }
 
-    private record TimedReport(CrashReport report, long seenNanos) {
-
-        CrashReport withAgeAt(long nowNanos) {
-            return new CrashReport(
-                    report.fingerprint(),
-                    report.kind(),
-                    report.guard(),
-                    report.targetIncarnation(),
-                    report.sequence(),
-                    Math.max(0, (nowNanos - seenNanos) / 1_000_000));
-        }
-    }
-
     private static final class ByteBudget {
         private int remaining;
 
--- a/node/src/test/java/org/dogwoodwood/node/control/PeerFaultTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/PeerFaultTests.java
@@ -11,11 +11,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.dogwoodwood.core.health.TrialCrash;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class PeerFaultTests {
 
+    private static final int GOSSIP_ENDS_MILLIS = 4_000;
+
     /** Guards against an isolated node that keeps its lease while its peers take over. */
     @Tag("known-red")
     @Test
@@ -104,6 +107,27 @@
         }
     }
 
+    /** Guards against a request that crashes targets again because of nodes that have started. */
+    @Test
+    void startedNodeLearnsOfCrashesOnTrial() {
+        try (ControlCluster cluster = ControlCluster.create()) {
+            cluster.startAll(3);
+            cluster.awaitTargets(3);
+            Optional<TrialCrash> tried = Optional.of(new TrialCrash(7L, false));
+            cluster.node(1).reportCrash(Set.of(7L), tried);
+            eventually("it is known", 2_000, () -> isBlocked(cluster.node(3), 7L));
+            // By then, gossip has sent the report as often as it does.
+            pause(GOSSIP_ENDS_MILLIS);
+
+            cluster.kill(2);
+            cluster.start(2, 200);
+            eventually(
+                    "the process that has started knows it, too",
+                    5_000,
+                    () -> isBlocked(cluster.node(2), 7L));
+        }
+    }
+
     /** Guards against calls to the previous process of a restarted node. */
     @Test
     void restartedNodeIsRoutedUnderItsNewIncarnation() {
