--- a/soak/src/test/java/org/dogwoodwood/soak/SoakTests.java
+++ b/soak/src/test/java/org/dogwoodwood/soak/SoakTests.java
@@ -15,6 +15,8 @@
     private static final int MAX_SHOWN = 5;
     private static final int MIN_SUCCESSES = 100;
     private static final int MIN_STARTS = 15;
+    private static final int RETURN_SECONDS = 40;
+    private static final int LONG_RETURN_SECONDS = 60;
     // Leaves time for answers between the pieces of trouble.
     private static final int CALM_GAP_MILLIS = 6_000;
 
@@ -61,6 +63,29 @@
         assertThat(result.broken(Rule.STUCK)).isZero();
     }
 
+    /**
+     * Guards against requests that are refused after targets have crashed and returned, and against
+     * one that crashes targets without end.
+     */
+    @Test
+    void requestsAreServedWhenTargetsAreBack() throws Exception {
+        SoakResult result = ReturnSoak.run(SoakOptions.of(3, RETURN_SECONDS, List.of(3)), folder);
+        result.print(System.out);
+        assertThat(result.counts().get("round: calm")).isPositive();
+        assertThat(result.broken(Rule.SERVED_AFTER_RETURN)).isZero();
+        assertThat(result.broken(Rule.CRASHER_STOPPED)).isZero();
+    }
+
+    /** Guards against a target that gets no request after its return. */
+    @Test
+    @Tag("known-red")
+    void targetsAreUsedWhenTheyAreBack() throws Exception {
+        SoakOptions options = SoakOptions.of(12, LONG_RETURN_SECONDS, List.of(1, 2));
+        SoakResult result = ReturnSoak.run(options, folder);
+        result.print(System.out);
+        assertThat(result.broken(Rule.RETURNED_TARGET_USED)).isZero();
+    }
+
     private void assertManyAnswersHold(SoakOptions options) throws Exception {
         SoakResult result = assertHolds(options);
         assertThat(result.counts().getOrDefault("client: safe 200", 0))
