--- a/soak/src/main/java/org/dogwoodwood/soak/ReturnSoak.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/ReturnSoak.java
@@ -44,7 +44,7 @@
     private final ReturnWatch watch = new ReturnWatch();
     private final List<CrashingTarget> targets = new ArrayList<>();
     private final List<SteadyClient> clients = new ArrayList<>();
-    private final List<Thread> threads = new ArrayList<>();
+    private final List<Thread> senders = new ArrayList<>();
     private final Map<CrashingTarget, Long> runsBefore = new HashMap<>();
 
     private ReturnSoak(SoakOptions options, Path folder) throws IOException {
@@ -92,7 +92,7 @@
         for (String service : services()) {
             SteadyClient started = new SteadyClient(vm, service, kind);
             clients.add(started);
-            threads.add(started.start());
+            senders.add(started.start());
         }
     }
 
@@ -126,17 +126,18 @@
     /** Returns the interval of a client at which all clients together use a part of the slots. */
     private int intervalMillis(SteadyClient client, int workMillis) {
         String service = client.service();
-        long senders = clients.stream().filter(each -> each.service().equals(service)).count();
+        long sendersOfService =
+                clients.stream().filter(each -> each.service().equals(service)).count();
         long slots =
                 targets.stream().filter(each -> each.vm().service().equals(service)).count()
                         * CrashingTarget.SLOTS;
-        return (int) Math.max(MIN_INTERVAL_MILLIS, senders * workMillis / (LOAD * slots));
+        return (int) Math.max(MIN_INTERVAL_MILLIS, sendersOfService * workMillis / (LOAD * slots));
     }
 
     /** Plays a few pieces of trouble that overlap; returns when all of them are over. */
     private List<ReturnTrouble> playTroubles() throws InterruptedException {
         List<ReturnTrouble> played = new ArrayList<>();
-        List<Thread> threads = new ArrayList<>();
+        List<Thread> playing = new ArrayList<>();
         int number = 1 + random.nextInt(MAX_TROUBLES);
         for (int i = 0; i < number; i++) {
             ReturnTrouble trouble = ReturnTrouble.draw(random);
@@ -147,10 +148,10 @@
             TroubleStep step = () -> trouble.play(scene);
             played.add(trouble);
             counts.add("trouble: " + trouble);
-            threads.add(Daemons.start("trouble " + trouble, step.counting(counts)));
+            playing.add(Daemons.start("trouble " + trouble, step.counting(counts)));
             Thread.sleep(random.nextInt(MAX_GAP_MILLIS));
         }
-        for (Thread thread : threads) {
+        for (Thread thread : playing) {
             thread.join();
         }
         deployment.awaitReady();
@@ -214,7 +215,7 @@
     }
 
     private void stop() throws IOException {
-        threads.forEach(Thread::interrupt);
+        senders.forEach(Thread::interrupt);
         for (CrashingTarget target : targets) {
             target.stop();
         }
