--- a/soak/src/main/java/org/dogwoodwood/soak/CrashingTarget.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/CrashingTarget.java
@@ -17,8 +17,7 @@
     static final int SLOTS = 18;
 
     private static final int HEARTBEAT_MILLIS = 1_500;
-    private static final int MIN_OWN_DOWN_MILLIS = 500;
-    private static final int MAX_OWN_DOWN_MILLIS = 2_500;
+    private static final int OWN_DOWN_MILLIS = 1_500;
 
     private final SoakVm vm;
     private final HttpClient client;
@@ -125,16 +124,12 @@
     }
 
     /** Crashes at a request that crashes targets, and returns by itself after a while. */
-    void crashAt(String request, int dice) throws IOException {
+    void crashAt(String request) throws IOException {
         watch.onCrashingRequest(request);
         if (crash().isPresent()) {
-            int range = MAX_OWN_DOWN_MILLIS - MIN_OWN_DOWN_MILLIS;
             TroubleStep step = () -> start(false);
             var unused =
-                    timers.schedule(
-                            step.counting(counts),
-                            MIN_OWN_DOWN_MILLIS + dice % range,
-                            TimeUnit.MILLISECONDS);
+                    timers.schedule(step.counting(counts), OWN_DOWN_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/soak/src/main/java/org/dogwoodwood/soak/TargetProcess.java
+++ b/soak/src/main/java/org/dogwoodwood/soak/TargetProcess.java
@@ -166,7 +166,7 @@
     private void run(HttpMessage request) throws IOException, InterruptedException {
         target.onRun();
         if (request.path().startsWith(CRASHING_PATH)) {
-            target.crashAt(request.path(), Math.abs(System.identityHashCode(request)));
+            target.crashAt(request.path());
         }
         Thread.sleep(target.workMillis());
     }
