Report no answer that is too old to be kept

Found by reading: a node remembers answers without a limit of age, but evidence of one is dropped after sixteen hold times. A blocked request that was answered before that so made the node report it at each refusal, each time as a new report for gossip, until its store of 1,000 was full and newer evidence was ignored.

Before: CrashFingerprintRegistryTests.anAnswerThatIsTooOldToBeKeptIsNoNews fails; after: its class passes.

--- a/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
@@ -110,9 +110,11 @@
 
     /** Returns whether an answer says something new about a request that is suspect. */
     public boolean isNewsOfAnswer(long fingerprint, long ageNanos, long nowNanos) {
-        return suspicion(fingerprint, nowNanos)
-                .filter(found -> ageNanos == 0 || !found.answeredBefore())
-                .isPresent();
+        boolean isKept = ageNanos < CrashKind.CLEARED.retentionNanos(holdNanos);
+        return isKept
+                && suspicion(fingerprint, nowNanos)
+                        .filter(found -> ageNanos == 0 || !found.answeredBefore())
+                        .isPresent();
     }
 
     /** Returns the evidence against a request, or empty if there is none. */
--- a/core/src/test/java/org/dogwoodwood/core/health/CrashFingerprintRegistryTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/health/CrashFingerprintRegistryTests.java
@@ -92,6 +92,15 @@
         assertThat(trialWeight()).isEqualTo(1);
     }
 
+    /** Guards against reports without end of an answer that is too old to be kept anywhere. */
+    @Test
+    void anAnswerThatIsTooOldToBeKeptIsNoNews() {
+        crashOnTrial(AT_ITS_BEGIN, 0);
+        long keptNanos = CrashKind.CLEARED.retentionNanos(HOLD);
+        assertThat(registry.isNewsOfAnswer(FINGERPRINT, keptNanos - 1, SECOND)).isTrue();
+        assertThat(registry.isNewsOfAnswer(FINGERPRINT, keptNanos, SECOND)).isFalse();
+    }
+
     @Test
     void crashesOfTheSameRequestAtTheSameTimeLeaveNoDoubt() {
         crashOnTrial(AT_ITS_BEGIN, 0);
