Tell a member that was cut off of requests that crashed targets on trial

The same cause as for a process that begins: reports are spread a few times, and a member that counted as dead meanwhile never got them. The memory of incarnations also kept each node that ever was a member; it keeps present ones now, and the fingerprints on trial are collected when reports change, not for each member.

Before: CrashGossipTests.aMemberThatWasCutOffIsToldOfTrials fails; after: its class passes, with DisseminationTests and PeerFaultTests.

--- a/core/src/main/java/org/dogwoodwood/core/membership/CrashGossip.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/CrashGossip.java
@@ -16,7 +16,8 @@
 
     private final UpdateQueue<String> queue = new UpdateQueue<>();
     private final Map<String, TimedReport> reports = new HashMap<>();
-    private final Map<NodeId, Long> incarnations = new HashMap<>();
+    private final Map<NodeId, Long> incarnationsOfPresent = new HashMap<>();
+    private Set<Long> triedFingerprints = Set.of();
 
     /**
      * Queues a report; ignored if the store of reports is full.
@@ -31,29 +32,41 @@
             return false;
         }
         queue.add(report.key());
+        updateTriedFingerprints();
         return true;
     }
 
     /** Removes reports that were observed before the given time. */
     void remove(long olderThanNanos) {
         reports.values().removeIf(report -> report.seenNanos < olderThanNanos);
+        updateTriedFingerprints();
     }
 
     /**
-     * Queues what is known of requests that crashed targets on trial again, if a member is another
-     * process than before: it began without that knowledge.
+     * Queues what is known of requests that crashed targets on trial again, if a member may lack
+     * it: its process has begun, or it was cut off for so long that it counted as dead.
      */
     void onMemberChanged(Member member) {
-        Long before = incarnations.put(member.node(), member.incarnation());
+        if (!member.isPresent()) {
+            incarnationsOfPresent.remove(member.node());
+            return;
+        }
+        Long before = incarnationsOfPresent.put(member.node(), member.incarnation());
         if (before == null || before != member.incarnation()) {
-            Set<Long> tried = triedFingerprints();
-            reports.forEach(
-                    (key, timed) -> {
-                        if (tried.contains(timed.report.fingerprint())) {
-                            queue.add(key);
-                        }
-                    });
+            queueTrialsAgain();
+        }
+    }
+
+    private void queueTrialsAgain() {
+        if (triedFingerprints.isEmpty()) {
+            return;
         }
+        reports.forEach(
+                (key, timed) -> {
+                    if (triedFingerprints.contains(timed.report.fingerprint())) {
+                        queue.add(key);
+                    }
+                });
     }
 
     boolean isEmpty() {
@@ -74,14 +87,14 @@
         return taken;
     }
 
-    private Set<Long> triedFingerprints() {
+    private void updateTriedFingerprints() {
         Set<Long> tried = new HashSet<>();
         for (TimedReport timed : reports.values()) {
             if (timed.report.kind().isTrial()) {
                 tried.add(timed.report.fingerprint());
             }
         }
-        return tried;
+        triedFingerprints = tried;
     }
 
     private int bytesOf(String key) {
