Take a node's raised incarnation from the membership, not from its target

Found by reading: a node without a target, or before its target has announced itself, kept the lower incarnation, so that its calls counted as those of its last process at guards that had dropped these. The membership knows it in any case; the search through the routing table goes.

PeerFaultTests.nodeWithoutTargetLearnsTheIncarnationByWhichPeersKnowIt is new (the listener is, too, so it could not run before); it passes with the rest of its class, RestartedNodeTests and the tests of peers.

--- a/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
+++ b/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.dogwoodwood.core.OrderedCopies;
@@ -78,15 +77,6 @@
                 .toList();
     }
 
-    /** Returns the incarnation by which a node is known, or empty if it has no target. */
-    public OptionalLong incarnationOf(NodeId node) {
-        return targetsByService.values().stream()
-                .flatMap(List::stream)
-                .filter(target -> target.node().equals(node))
-                .mapToLong(RouteTarget::incarnation)
-                .findFirst();
-    }
-
     /** Returns the evidence against a request if it may run on trial only, or empty. */
     public Optional<CrashSuspicion> blocked(String service, long fingerprint) {
         return Optional.ofNullable(suspicions.get(fingerprint))
--- a/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/DefaultControlPlane.java
@@ -148,7 +148,7 @@
                         components,
                         new SplittableRandom(seed),
                         context.events());
-        control.onRoutingTable(context.identity()::onRoutingTable);
+        control.onIncarnation(context.identity()::raiseIncarnation);
         ControlRoutes.add(context.admin(), control);
         return control;
     }
@@ -251,6 +251,14 @@
         return onControlThread(() -> Future.succeededFuture(state.incarnation()));
     }
 
+    /**
+     * Adds a listener that receives the node's incarnation with each routing table, on the control
+     * thread.
+     */
+    void onIncarnation(LongConsumer listener) {
+        onRoutingTable(table -> listener.accept(state.incarnation()));
+    }
+
     @Override
     public Optional<MembershipLog> membershipLog() {
         return components.keyedCalls() ? Optional.of(this) : Optional.empty();
--- a/node/src/main/java/org/dogwoodwood/node/peer/PeerIdentity.java
+++ b/node/src/main/java/org/dogwoodwood/node/peer/PeerIdentity.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import org.dogwoodwood.codec.wire.HelloFrame;
 import org.dogwoodwood.core.model.NodeId;
-import org.dogwoodwood.core.routing.RoutingTable;
 import org.dogwoodwood.node.settings.NodeSettings;
 
 /**
@@ -53,9 +52,9 @@
         return incarnations.contains(incarnation);
     }
 
-    /** Adopts the incarnation by which the targets in a table name this node. */
-    public void onRoutingTable(RoutingTable table) {
-        table.incarnationOf(node).ifPresent(incarnations::raise);
+    /** Adopts the incarnation by which the members know this node, if it is a higher one. */
+    public void raiseIncarnation(long incarnation) {
+        incarnations.raise(incarnation);
     }
 
     HelloFrame hello() {
--- a/node/src/test/java/org/dogwoodwood/node/control/ControlCluster.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/ControlCluster.java
@@ -74,6 +74,12 @@
 
     /** Starts a node; even numbers are in data centre a, odd ones in b. */
     DefaultControlPlane start(int number, long incarnation) {
+        DefaultControlPlane node = startWithoutTarget(number, incarnation);
+        node.announceTarget(new MemberTarget(SERVICE, 6, 220, TargetState.WARM));
+        return node;
+    }
+
+    DefaultControlPlane startWithoutTarget(int number, long incarnation) {
         ControlSettings settings =
                 new ControlSettings(
                         NodeId.of("node-" + number),
@@ -91,7 +97,6 @@
                         EventLog.create());
         nodes.put(number, node);
         await(node.start());
-        node.announceTarget(new MemberTarget(SERVICE, 6, 220, TargetState.WARM));
         return node;
     }
 
--- a/node/src/test/java/org/dogwoodwood/node/control/PeerFaultTests.java
+++ b/node/src/test/java/org/dogwoodwood/node/control/PeerFaultTests.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.dogwoodwood.core.health.TrialCrash;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -129,6 +130,19 @@
         }
     }
 
+    /** Guards against calls of a node without a target that count as those of its last process. */
+    @Test
+    void nodeWithoutTargetLearnsTheIncarnationByWhichPeersKnowIt() {
+        try (ControlCluster cluster = ControlCluster.create()) {
+            cluster.startAll(2);
+            cluster.awaitTargets(2);
+            cluster.kill(2);
+            AtomicLong known = new AtomicLong();
+            cluster.startWithoutTarget(2, 50).onIncarnation(known::set);
+            eventually("its incarnation is raised", 5_000, () -> known.get() > 100);
+        }
+    }
+
     /** Guards against calls to the previous process of a restarted node. */
     @Test
     void restartedNodeIsRoutedUnderItsNewIncarnation() {
