--- a/core/src/main/java/org/dogwoodwood/core/health/CrashEvents.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashEvents.java
@@ -107,7 +107,7 @@
         };
     }
 
-    /** Returns whether another target crashed at about a time without running a request. */
+    /** Returns whether another target, which did not run the request, crashed at the same time. */
     private boolean hasOtherCrash(CrashEvent crash, long atNanos, CrashEvents ofRequest) {
         return times.entrySet().stream()
                 .filter(entry -> !entry.getKey().guard().equals(crash.guard()))
--- a/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashFingerprintRegistry.java
@@ -79,7 +79,7 @@
         for (long fingerprint : fingerprints) {
             CrashKind kind =
                     tried.filter(trial -> trial.fingerprint() == fingerprint)
-                            .map(trial -> CrashKind.ofTrial(trial.begun()))
+                            .map(CrashKind::of)
                             .orElse(CrashKind.CRASHED);
             records.add(CrashRecord.ofCrash(fingerprint, kind, guard, targetIncarnation));
         }
--- a/core/src/main/java/org/dogwoodwood/core/health/CrashKind.java
+++ b/core/src/main/java/org/dogwoodwood/core/health/CrashKind.java
@@ -37,8 +37,8 @@
     }
 
     /** Returns the kind of a crash at which a request was on trial. */
-    public static CrashKind ofTrial(boolean begun) {
-        return begun ? TRIAL_CRASHED_LATE : TRIAL_CRASHED;
+    static CrashKind of(TrialCrash crash) {
+        return crash.late() ? TRIAL_CRASHED_LATE : TRIAL_CRASHED;
     }
 
     /** Returns the stable number of this kind in messages. */
--- a/core/src/main/java/org/dogwoodwood/core/membership/CrashReport.java
+++ b/core/src/main/java/org/dogwoodwood/core/membership/CrashReport.java
@@ -7,7 +7,8 @@
 /**
  * An observation about a request that may crash targets, as carried by gossip.
  *
- * @param fingerprint the fingerprint of the request
+ * @param fingerprint the fingerprint of the request; {@link
+ *     org.dogwoodwood.core.health.CrashFingerprintRegistry#NO_REQUEST} for a crash of a target
  * @param kind what was observed
  * @param guard the node beside the target
  * @param targetIncarnation the incarnation of the observed target
--- a/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
+++ b/core/src/main/java/org/dogwoodwood/core/routing/RoutingTable.java
@@ -83,6 +83,14 @@
                 .filter(found -> found.status(crashPolicy(service)) == CrashStatus.BLOCKED);
     }
 
+    /** Returns the number of requests that may run on trial only by the policy of a service. */
+    public long blockedRequests(String service) {
+        CrashPolicy policy = crashPolicy(service);
+        return suspicions.values().stream()
+                .filter(found -> found.status(policy) == CrashStatus.BLOCKED)
+                .count();
+    }
+
     /** Returns when requests of a service that may crash targets are refused. */
     public CrashPolicy crashPolicy(String service) {
         return CrashPolicy.of(configuration.policyOf(service));
--- a/core/src/test/java/org/dogwoodwood/core/health/CrashFingerprintRegistryTests.java
+++ b/core/src/test/java/org/dogwoodwood/core/health/CrashFingerprintRegistryTests.java
@@ -147,8 +147,8 @@
         }
     }
 
-    private void crashOnTrial(boolean begun, long nowNanos) {
-        Optional<TrialCrash> tried = Optional.of(new TrialCrash(FINGERPRINT, begun));
+    private void crashOnTrial(boolean late, long nowNanos) {
+        Optional<TrialCrash> tried = Optional.of(new TrialCrash(FINGERPRINT, late));
         registry.onCrash(A, 1, Set.of(FINGERPRINT), tried, nowNanos);
     }
 
--- a/node/src/main/java/org/dogwoodwood/node/Node.java
+++ b/node/src/main/java/org/dogwoodwood/node/Node.java
@@ -351,7 +351,6 @@
     private void addGauges() {
         metrics.addGauge("dogwoodwood_guard_pending_calls", guard::pendingCalls);
         metrics.addGauge("dogwoodwood_held_body_bytes", parts.bodyMemory()::heldBytes);
-        metrics.addGauge("dogwoodwood_target_polls_total", guard::polls);
         metrics.addGauge(
                 "dogwoodwood_ingress_pending_requests",
                 () -> ingressServer == null ? 0 : ingressServer.pending());
--- a/node/src/main/java/org/dogwoodwood/node/control/AnsweredRequests.java
+++ b/node/src/main/java/org/dogwoodwood/node/control/AnsweredRequests.java
@@ -32,16 +32,20 @@
 
     /** Reports the last answer to a request that was in flight at a crash. */
     public void onCrash(long fingerprint, long nowNanos) {
-        recentAnswers
-                .ageNanos(fingerprint, nowNanos)
-                .ifPresent(age -> control.reportAnswered(fingerprint, age));
+        reportLastAnswer(fingerprint, nowNanos);
     }
 
     /** Reports the last answer to a request that is refused, unless an answer is known. */
     public void onBlocked(long fingerprint, long nowNanos) {
         CrashSuspicion suspicion = control.routingTable().suspicions().get(fingerprint);
         if (suspicion != null && !suspicion.answeredBefore()) {
-            onCrash(fingerprint, nowNanos);
+            reportLastAnswer(fingerprint, nowNanos);
         }
     }
+
+    private void reportLastAnswer(long fingerprint, long nowNanos) {
+        recentAnswers
+                .ageNanos(fingerprint, nowNanos)
+                .ifPresent(age -> control.reportAnswered(fingerprint, age));
+    }
 }
--- a/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
+++ b/node/src/main/java/org/dogwoodwood/node/guard/Guard.java
@@ -126,6 +126,8 @@
     /** Starts monitoring the target; must be called on the traffic loop. */
     public void start() {
         monitor.start();
+        metrics.addGauge("dogwoodwood_target_polls_total", monitor::polls);
+        metrics.addGauge("dogwoodwood_blocked_requests", this::blockedRequests);
         vertx.setPeriodic(DATA_CENTRE_CHECK_MILLIS, ignored -> checkDataCentreState());
     }
 
@@ -178,11 +180,6 @@
         return monitor.announcement();
     }
 
-    /** Returns the number of polls that were sent to the target. */
-    public long polls() {
-        return monitor.polls();
-    }
-
     @Override
     public void onCall(CallFrame frame, Consumer<AttemptAnswer> listener) {
         long nowNanos = System.nanoTime();
@@ -387,6 +384,11 @@
         }
     }
 
+    private long blockedRequests() {
+        String service = announcement().map(TargetAnnouncement::service).orElse("");
+        return control.routingTable().blockedRequests(service);
+    }
+
     private void announce() {
         announcedTarget().ifPresent(control::announceTarget);
     }
